--- /dev/null
+++ b/cmd/hyssop-entry/main.go
@@ -0,0 +1,89 @@
+// Command hyssop-entry serves callers and operators on an entry VM.
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/entry"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+	"github.com/hyssoptiller/hyssoptiller/internal/process"
+)
+
+const (
+	exitSettings = 2
+	exitFailure  = 1
+)
+
+func main() {
+	var s entry.Settings
+	app := kingpin.New("hyssop-entry", "Serves callers and operators of a hyssoptiller fleet.")
+	addFlags(app, &s)
+	level := process.LevelFlag(app)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := s.Check(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	log := process.NewLogger(os.Stderr, process.ParseLevel(*level), "hyssop-entry").WithField("vm", s.VM)
+	if err := run(s, log); err != nil {
+		log.WithError(err).Error("ended with an error")
+		os.Exit(exitFailure)
+	}
+}
+
+func addFlags(app *kingpin.Application, s *entry.Settings) {
+	process.Flag(app, "vm", "Name of this VM, as the VM list has it.").StringVar((*string)(&s.VM))
+	process.Flag(app, "failure-domain", "Failure domain of this VM.").StringVar((*string)(&s.FailureDomain))
+	process.Flag(app, "region", "Region of this VM.").Default("region-1").StringVar((*string)(&s.Region))
+	process.Flag(app, "callers", "Listen address for callers.").Default("127.0.0.1:8080").StringVar(&s.CallersAddress)
+	process.Flag(app, "operators", "Listen address for operators.").Default("127.0.0.1:8090").StringVar(&s.OperatorsAddress)
+	process.Flag(app, "operators-token", "Credential that operators show, 16 characters or more.").StringVar(&s.OperatorsToken)
+	process.Flag(app, "fleet", "Listen address for other processes of the fleet.").Default("127.0.0.1:7000").StringVar(&s.FleetAddress)
+	process.Flag(app, "admin", "Listen address for /healthz, /readyz and /metrics.").Default("127.0.0.1:9090").StringVar(&s.AdminAddress)
+	process.Flag(app, "store", "Address of the key-value service.").Default("127.0.0.1:8500").StringVar(&s.StoreAddress)
+	process.Flag(app, "vm-list", "URL of the platform's VM list.").Default("http://127.0.0.1:8501/vms").StringVar(&s.VMListURL)
+	process.SecurityFlags(app, &s.Security)
+	process.Flag(app, "max-body-bytes", "Largest request body in bytes.").Default("4194304").Int64Var(&s.MaxBodyBytes)
+	process.Flag(app, "request-timeout", "Longest time for one request.").Default("5m").DurationVar(&s.RequestTimeout)
+	process.Flag(app, "body-timeout", "Longest time to send a request's body.").Default("30s").DurationVar(&s.BodyTimeout)
+	process.Flag(app, "write-timeout", "Longest time to read one part of an answer.").Default("30s").DurationVar(&s.WriteTimeout)
+	process.Flag(app, "drain-delay", "Time between failing /readyz and closing the listeners.").Default("5s").DurationVar(&s.DrainDelay)
+	process.Flag(app, "drain-timeout", "Longest time that running requests get at shutdown.").Default("5m").DurationVar(&s.DrainTimeout)
+	process.Flag(app, "store-timeout", "Longest time for one call to the key-value service.").Default("2s").DurationVar(&s.StoreTimeout)
+	process.Flag(app, "vm-list-interval", "Time between two readings of the VM list.").Default("2s").DurationVar(&s.VMListInterval)
+	process.Flag(app, "timeline-events", "Events that the time line keeps.").Default("8192").IntVar(&s.TimelineEvents)
+}
+
+func run(s entry.Settings, log *logrus.Entry) error {
+	listeners := make([]net.Listener, 0, 4)
+	for _, address := range []string{s.CallersAddress, s.OperatorsAddress, s.FleetAddress, s.AdminAddress} {
+		l, err := process.Listen(address)
+		if err != nil {
+			return err
+		}
+		listeners = append(listeners, l)
+	}
+	e, err := entry.New(entry.Options{
+		Settings:          s,
+		Store:             store.NewConsul(store.ConsulOptions{Address: s.StoreAddress, Prefix: "hyssop/", Timeout: s.StoreTimeout}),
+		VMList:            vmlist.NewClient(s.VMListURL, s.StoreTimeout),
+		CallersListener:   listeners[0],
+		OperatorsListener: listeners[1],
+		FleetListener:     listeners[2],
+		AdminListener:     listeners[3],
+		Log:               log,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, stop := process.SignalContext()
+	defer stop()
+	log.Info("started")
+	return e.Serve(ctx)
+}
--- /dev/null
+++ b/internal/agent/settings.go
@@ -0,0 +1,50 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/settings"
+)
+
+// Settings are the agent's settings, as flags and variables give them.
+type Settings struct {
+	VM              ident.VM
+	FailureDomain   ident.FailureDomain
+	Region          ident.Region
+	FleetAddress    string // Listen address for entries.
+	AdminAddress    string // Listen address for health and metrics.
+	StoreAddress    string // Address of the key-value service.
+	EndpointAddress string // Address of the endpoint.
+	ChecksFence     bool   // Whether the endpoint refuses orders with an old fencing number.
+	Slots           int    // Adapter builds that the engine holds at once; 0 for a plain service.
+	Capacity        int    // Attempts that the endpoint runs at once.
+	Security        transport.Security
+	OrderTimeout    time.Duration
+	DrainTimeout    time.Duration
+	StoreTimeout    time.Duration
+	MaxBodyBytes    int64
+	TimelineEvents  int // Events that the time line keeps.
+}
+
+// Check returns what is wrong with the settings, a line for each.
+func (s Settings) Check() error {
+	var c settings.Checker
+	c.Name("vm", string(s.VM))
+	c.Name("failure-domain", string(s.FailureDomain))
+	c.Name("region", string(s.Region))
+	c.Address("fleet", s.FleetAddress)
+	c.Address("admin", s.AdminAddress)
+	c.Address("store", s.StoreAddress)
+	c.Address("endpoint", s.EndpointAddress)
+	c.AtLeast("slots", int64(s.Slots), 0)
+	c.AtLeast("capacity", int64(s.Capacity), 1)
+	c.Check("fleet-secret", s.Security.Check())
+	c.Positive("order-timeout", s.OrderTimeout)
+	c.Positive("drain-timeout", s.DrainTimeout)
+	c.Positive("store-timeout", s.StoreTimeout)
+	c.AtLeast("max-body-bytes", s.MaxBodyBytes, 1)
+	c.AtLeast("timeline-events", int64(s.TimelineEvents), 1)
+	return c.Err()
+}
--- /dev/null
+++ b/internal/entry/callers/services.go
@@ -0,0 +1,80 @@
+package callers
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
+)
+
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	maxIdempotencyBytes  = 255
+	serviceCostTokens    = 1
+)
+
+// service routes a call to a plain service.
+func (h *handler) service(w http.ResponseWriter, r *http.Request) {
+	c := h.begin(w, r)
+	service := ident.Service(chi.URLParam(r, "service"))
+	path := "/" + strings.TrimPrefix(chi.URLParam(r, "*"), "/")
+	route, refused := h.findRoute(c, service, path)
+	if refused != nil {
+		h.refuse(c, refused)
+		return
+	}
+	body, refused := h.readBody(c)
+	if refused != nil {
+		h.refuse(c, refused)
+		return
+	}
+	h.run(c, serviceRequest(c, service, route, path, body))
+}
+
+// findRoute looks for an open route first, which needs no key, then for one of
+// the organisation's plan.
+func (h *handler) findRoute(c *call, service ident.Service, path string) (config.Route, *refusal.Refusal) {
+	route, ok := c.config.OpenRoute(service, c.r.Method, path)
+	if ok {
+		return route, nil
+	}
+	if refused := h.authenticate(c); refused != nil {
+		return config.Route{}, refused
+	}
+	if len(c.r.Header.Get(headerIdempotencyKey)) > maxIdempotencyBytes {
+		return config.Route{}, badRequest("the Idempotency-Key is longer than 255 bytes")
+	}
+	route, ok = c.config.Route(c.tenant.Organisation, service, c.r.Method, path)
+	if !ok {
+		return config.Route{}, unknownRoute()
+	}
+	return route, nil
+}
+
+func serviceRequest(c *call, service ident.Service, route config.Route, path string, body []byte) dispatch.Request {
+	if c.r.URL.RawQuery != "" {
+		path += "?" + c.r.URL.RawQuery
+	}
+	return dispatch.Request{
+		Body: body,
+		Job: wire.Job{
+			Request:        c.id,
+			Organisation:   c.tenant.Organisation,
+			Service:        service,
+			Method:         c.r.Method,
+			Path:           path,
+			ContentType:    c.r.Header.Get("Content-Type"),
+			Idempotent:     route.Idempotent,
+			IdempotencyKey: c.r.Header.Get(headerIdempotencyKey),
+			Priority:       c.tenant.Priority,
+			Weight:         max(c.tenant.Weight, 1),
+			Cost:           serviceCostTokens,
+		},
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,170 @@
+// Package entry is the supervisor of the entry process, which stands between
+// callers and the agents and serves the operators.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/admission"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/callers"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+	"github.com/hyssoptiller/hyssoptiller/internal/process"
+)
+
+// Options configures New. The listeners are open; Serve closes them.
+type Options struct {
+	Settings          Settings
+	Store             store.Store
+	VMList            vmlist.List
+	CallersListener   net.Listener
+	OperatorsListener net.Listener
+	FleetListener     net.Listener
+	AdminListener     net.Listener
+	Log               *logrus.Entry
+}
+
+// Entry is the entry process.
+type Entry struct {
+	opts      Options
+	clock     *hlc.Clock
+	ring      *timeline.Ring
+	ready     *process.Ready
+	metrics   *process.Metrics
+	replica   *config.Replica
+	directory *directory.Directory
+	running   *running.Index
+	tree      *suture.Supervisor
+}
+
+// New builds the entry's supervisor tree.
+func New(opts Options) (*Entry, error) {
+	s := opts.Settings
+	clock := hlc.New(nil)
+	ring := timeline.NewRing(s.VM, clock, s.TimelineEvents)
+	e := &Entry{
+		opts:      opts,
+		clock:     clock,
+		ring:      ring,
+		ready:     process.NewReady("no configuration yet"),
+		metrics:   process.NewMetrics(),
+		replica:   config.NewReplica(config.ReplicaOptions{Store: opts.Store, Log: opts.Log, Timeline: ring}),
+		directory: directory.New(directory.Options{List: opts.VMList, Interval: s.VMListInterval, Log: opts.Log}),
+		running:   running.NewIndex(),
+		tree:      process.NewSupervisor("entry", opts.Log, s.DrainTimeout),
+	}
+	e.replica.OnChange(e.configChanged)
+	if err := e.addServices(); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+func (e *Entry) addServices() error {
+	s := e.opts.Settings
+	client, err := transport.NewClient(s.Security, e.clock)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	fleet, err := transport.NewServer(s.Security, e.clock, http.NotFoundHandler())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	e.tree.Add(e.replica)
+	e.tree.Add(e.directory)
+	e.tree.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
+	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(), time.Second))
+	e.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: e.opts.FleetListener, Grace: s.DrainTimeout})
+	admin := process.AdminHandler(e.ready, e.metrics)
+	e.tree.Add(process.NewHTTPServer("admin", e.opts.AdminListener, admin, time.Second))
+	return nil
+}
+
+func (e *Entry) callersHandler(client *transport.Client) http.Handler {
+	s := e.opts.Settings
+	dispatcher := dispatch.New(dispatch.Options{
+		Client:    client,
+		Endpoints: dispatch.Rendezvous{Directory: e.directory},
+		Timeline:  e.ring,
+	})
+	return callers.NewHandler(callers.Options{
+		Config:       e.replica.Current,
+		Freshness:    alwaysFresh{},
+		Limiter:      admission.NewLocal(),
+		Dispatcher:   dispatcher,
+		Running:      e.running,
+		Timeline:     e.ring,
+		Metrics:      e.metrics.Scope,
+		MaxBodyBytes: s.MaxBodyBytes,
+		Timeout:      s.RequestTimeout,
+		BodyTimeout:  s.BodyTimeout,
+		WriteTimeout: s.WriteTimeout,
+	})
+}
+
+func (e *Entry) operatorsHandler() http.Handler {
+	return operators.NewHandler(operators.Options{
+		Editor:   config.NewEditor(e.opts.Store),
+		Config:   e.replica.Current,
+		Timeline: e.ring,
+		Token:    e.opts.Settings.OperatorsToken,
+	})
+}
+
+// configChanged puts a new revision in force for requests that already run.
+func (e *Entry) configChanged(s *config.Snapshot) {
+	e.running.Cut(running.ErrKeyWithdrawn, func(key ident.KeyHash) bool {
+		_, ok := s.Key(key)
+		return ok
+	})
+	e.ready.Set()
+}
+
+// Serve runs the entry until ctx ends, then drains: /readyz fails, the
+// balancer gets the drain delay to notice, and running requests finish within
+// the drain timeout.
+func (e *Entry) Serve(ctx context.Context) error {
+	defer e.metrics.Close()
+	e.ring.Record(timeline.Event{Kind: timeline.KindProcessStarted})
+	tree, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := e.tree.ServeBackground(tree)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	e.ready.Not("draining")
+	e.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
+	time.Sleep(e.opts.Settings.DrainDelay)
+	stop()
+	<-done
+	return nil
+}
+
+// alwaysFresh trusts the configuration whatever its age.
+type alwaysFresh struct{}
+
+// Fresh implements callers.Freshness.
+func (alwaysFresh) Fresh() bool { return true }
+
+// Ready reports whether the entry can serve callers.
+func (e *Entry) Ready() bool {
+	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero()
+}
--- /dev/null
+++ b/internal/entry/operators/operators.go
@@ -0,0 +1,215 @@
+// Package operators is the HTTP interface to operators, which hyssopctl uses.
+package operators
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+)
+
+const (
+	maxListBytes = 64 << 20
+	keyBytes     = 24
+	// HeaderRevision carries a list's revision.
+	HeaderRevision = "Hyssop-Revision"
+)
+
+// Options configures NewHandler.
+type Options struct {
+	Editor   *config.Editor
+	Config   func() *config.Snapshot
+	Timeline *timeline.Ring
+	Token    string // Credential that operators show as a bearer token.
+}
+
+type handler struct {
+	opts Options
+}
+
+// NewHandler returns the operators' HTTP handler.
+func NewHandler(opts Options) http.Handler {
+	h := &handler{opts: opts}
+	router := chi.NewRouter()
+	router.Use(h.authenticate)
+	router.Get("/lists/{list}", h.get)
+	router.Post("/lists/{list}/check", h.check)
+	router.Put("/lists/{list}", h.apply)
+	router.Get("/keys/{organisation}", h.listKeys)
+	router.Post("/keys/{organisation}", h.grant)
+	router.Delete("/keys/{organisation}/{hash}", h.withdraw)
+	router.Get("/timeline", h.timeline)
+	router.Get("/status", h.status)
+	return router
+}
+
+func (h *handler) authenticate(next http.Handler) http.Handler {
+	want := []byte("Bearer " + h.opts.Token)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := []byte(r.Header.Get("Authorization"))
+		if subtle.ConstantTimeCompare(given, want) != 1 {
+			writeError(w, http.StatusUnauthorized, "unauthorized", "the operators' token is missing or wrong")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func listOf(r *http.Request) (config.List, bool) {
+	list := config.List(chi.URLParam(r, "list"))
+	return list, list == config.ListPlans || list == config.ListAllowances
+}
+
+func (h *handler) get(w http.ResponseWriter, r *http.Request) {
+	list, ok := listOf(r)
+	if !ok {
+		writeError(w, http.StatusNotFound, "unknown_list", "the lists are plans and allowances")
+		return
+	}
+	text, revision, err := h.opts.Editor.Read(r.Context(), list)
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	w.Header().Set(HeaderRevision, strconv.FormatUint(uint64(revision), 10))
+	w.Header().Set("Content-Type", "application/yaml")
+	_, _ = io.WriteString(w, text)
+}
+
+func (h *handler) check(w http.ResponseWriter, r *http.Request) {
+	list, text, ok := h.readList(w, r)
+	if !ok {
+		return
+	}
+	if err := h.opts.Editor.Check(r.Context(), list, text); err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct {
+		OK bool `json:"ok"`
+	}{true})
+}
+
+type revisionBody struct {
+	Revision config.Revision `json:"revision"`
+}
+
+func (h *handler) apply(w http.ResponseWriter, r *http.Request) {
+	list, text, ok := h.readList(w, r)
+	if !ok {
+		return
+	}
+	read, err := strconv.ParseUint(r.Header.Get(HeaderRevision), 10, 64)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "missing_revision", "give the revision that was read in "+HeaderRevision)
+		return
+	}
+	revision, err := h.opts.Editor.Apply(r.Context(), list, text, config.Revision(read))
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, revisionBody{revision})
+}
+
+func (h *handler) readList(w http.ResponseWriter, r *http.Request) (config.List, string, bool) {
+	list, ok := listOf(r)
+	if !ok {
+		writeError(w, http.StatusNotFound, "unknown_list", "the lists are plans and allowances")
+		return "", "", false
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxListBytes))
+	if err != nil {
+		writeError(w, http.StatusRequestEntityTooLarge, "too_large", fmt.Sprintf("a list has at most %d bytes", maxListBytes))
+		return "", "", false
+	}
+	return list, string(data), true
+}
+
+func (h *handler) listKeys(w http.ResponseWriter, r *http.Request) {
+	org := ident.Organisation(chi.URLParam(r, "organisation"))
+	keys, err := h.opts.Editor.Keys(r.Context())
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	out := []config.Key{}
+	for _, k := range keys {
+		if k.Organisation == org {
+			out = append(out, k)
+		}
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+type grantBody struct {
+	Key      string          `json:"key"` // Shown once; only its hash is kept.
+	Hash     ident.KeyHash   `json:"hash"`
+	Revision config.Revision `json:"revision"`
+}
+
+func (h *handler) grant(w http.ResponseWriter, r *http.Request) {
+	org := ident.Organisation(chi.URLParam(r, "organisation"))
+	key := ident.NewToken(keyBytes)
+	hash := ident.HashKey(key)
+	revision, err := h.opts.Editor.GrantKey(r.Context(), config.Key{Hash: hash, Organisation: org})
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, http.StatusCreated, grantBody{Key: key, Hash: hash, Revision: revision})
+}
+
+func (h *handler) withdraw(w http.ResponseWriter, r *http.Request) {
+	revision, err := h.opts.Editor.WithdrawKey(r.Context(), ident.KeyHash(chi.URLParam(r, "hash")))
+	if err != nil {
+		writeFailure(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, revisionBody{revision})
+}
+
+func (h *handler) timeline(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, h.opts.Timeline.Events())
+}
+
+func (h *handler) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, revisionBody{h.opts.Config().Revision()})
+}
+
+type errorBody struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+func writeFailure(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, config.ErrConflict):
+		writeError(w, http.StatusConflict, "conflict", err.Error())
+	case errors.Is(err, config.ErrInvalid):
+		writeError(w, http.StatusUnprocessableEntity, "invalid", err.Error())
+	default:
+		writeError(w, http.StatusServiceUnavailable, "unavailable", err.Error())
+	}
+}
+
+func writeError(w http.ResponseWriter, status int, code, message string) {
+	writeJSON(w, status, struct {
+		Error errorBody `json:"error"`
+	}{errorBody{code, message}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/refusal/refusal.go
@@ -0,0 +1,176 @@
+// Package refusal holds the answer that a caller gets in place of a result.
+//
+// A refusal is JSON of the shape
+//
+//	{"error":{"type","code","message","request_id","ran"}}
+//
+// with the header Hyssop-Ran of the same value as the field "ran". The value
+// "no" is a promise that the request did not run.
+package refusal
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+)
+
+// Ran says whether a refused request ran on an endpoint.
+type Ran string
+
+// Values of Ran.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// HeaderRan carries the value of Ran on each refusal.
+const HeaderRan = "Hyssop-Ran"
+
+// Type groups codes by who has to act.
+type Type string
+
+// Values of Type.
+const (
+	TypeInvalidRequest Type = "invalid_request_error"
+	TypeAuthentication Type = "authentication_error"
+	TypePermission     Type = "permission_error"
+	TypeRateLimit      Type = "rate_limit_error"
+	TypeUnavailable    Type = "unavailable_error"
+	TypeEndpoint       Type = "endpoint_error"
+	TypeConflict       Type = "conflict_error"
+)
+
+// Code names the exact reason of a refusal.
+type Code string
+
+// Values of Code.
+const (
+	CodeBadRequest        Code = "bad_request"
+	CodeTooLarge          Code = "request_too_large"
+	CodeMissingKey        Code = "missing_key"
+	CodeUnknownKey        Code = "unknown_key"
+	CodeKeyWithdrawn      Code = "key_withdrawn"
+	CodeUnknownModel      Code = "unknown_model"
+	CodeUnknownRoute      Code = "unknown_route"
+	CodeRateLimited       Code = "rate_limited"
+	CodeExceedsBurst      Code = "exceeds_burst"
+	CodeNoEndpoint        Code = "no_endpoint"
+	CodeEndpointBusy      Code = "endpoint_busy"
+	CodeEndpointFailed    Code = "endpoint_failed"
+	CodeAdapterLoadFailed Code = "adapter_load_failed"
+	CodeDeadline          Code = "deadline_exceeded"
+	CodeDraining          Code = "draining"
+	CodeNotReady          Code = "not_ready"
+	CodeStale             Code = "stale_configuration"
+	CodeQuarantined       Code = "quarantined"
+	CodeClaimed           Code = "idempotency_key_in_use"
+	CodeKeyReused         Code = "idempotency_key_reused"
+	CodeClaimsUnavailable Code = "claims_unavailable"
+	CodeCancelled         Code = "cancelled"
+	CodeBrokenAnswer      Code = "broken_answer"
+)
+
+// Refusal is the typed answer to a request that got no result. It is an
+// error, so that a layer can return it and the layer above can write it.
+type Refusal struct {
+	Status     int             // HTTP status.
+	Type       Type            // Group of the code.
+	Code       Code            // Exact reason.
+	Message    string          // One sentence for the caller; holds no key and no prompt.
+	RequestID  ident.RequestID // Request that was refused.
+	Ran        Ran             // Whether the request ran.
+	RetryAfter time.Duration   // Time to wait before asking again; 429 and 503 only.
+}
+
+type body struct {
+	Error bodyError `json:"error"`
+}
+
+type bodyError struct {
+	Type      Type            `json:"type"`
+	Code      Code            `json:"code"`
+	Message   string          `json:"message"`
+	RequestID ident.RequestID `json:"request_id"`
+	Ran       Ran             `json:"ran"`
+}
+
+// Error returns the code, the message and whether the request ran.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s (ran: %s)", r.Code, r.Message, r.Ran)
+}
+
+// Retryable reports whether the refusal promises that nothing ran and another
+// endpoint may be asked.
+func (r *Refusal) Retryable() bool {
+	if r.Ran != RanNo {
+		return false
+	}
+	return r.Status == http.StatusServiceUnavailable
+}
+
+// Write sends the refusal as the whole answer.
+func (r *Refusal) Write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderRan, string(r.Ran))
+	if r.needsRetryAfter() {
+		h.Set("Retry-After", retryAfterSeconds(r.RetryAfter))
+	}
+	w.WriteHeader(r.Status)
+	_ = json.NewEncoder(w).Encode(r.body())
+}
+
+// JSON returns the refusal's body, for the error event of a stream that has
+// already begun.
+func (r *Refusal) JSON() []byte {
+	data, _ := json.Marshal(r.body())
+	return data
+}
+
+// Parse reads a refusal that another process of the fleet has written. It
+// returns false where the answer carries no Hyssop-Ran header or no error body.
+func Parse(status int, header http.Header, data []byte) (*Refusal, bool) {
+	ran := Ran(header.Get(HeaderRan))
+	if ran != RanNo && ran != RanYes && ran != RanUnknown {
+		return nil, false
+	}
+	var b body
+	if err := json.Unmarshal(data, &b); err != nil || b.Error.Code == "" {
+		return nil, false
+	}
+	seconds, _ := strconv.Atoi(header.Get("Retry-After"))
+	return &Refusal{
+		Status:     status,
+		Type:       b.Error.Type,
+		Code:       b.Error.Code,
+		Message:    b.Error.Message,
+		RequestID:  b.Error.RequestID,
+		Ran:        ran,
+		RetryAfter: time.Duration(seconds) * time.Second,
+	}, true
+}
+
+func (r *Refusal) body() body {
+	return body{Error: bodyError{
+		Type:      r.Type,
+		Code:      r.Code,
+		Message:   r.Message,
+		RequestID: r.RequestID,
+		Ran:       r.Ran,
+	}}
+}
+
+func (r *Refusal) needsRetryAfter() bool {
+	return r.Status == http.StatusTooManyRequests || r.Status == http.StatusServiceUnavailable
+}
+
+func retryAfterSeconds(d time.Duration) string {
+	seconds := int(math.Ceil(d.Seconds()))
+	return strconv.Itoa(max(seconds, 1))
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,436 @@
+// Package engine is a small stand-in for a model engine. It speaks the part
+// of vLLM's published HTTP API that platform/engine uses, records what it was
+// asked, and has switches for the faults that engines show.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	platform "github.com/hyssoptiller/hyssoptiller/internal/platform/engine"
+)
+
+const (
+	defaultMaxTokens = 16
+	maxBodyBytes     = 4 << 20
+	bootIDBytes      = 6
+)
+
+// Options configures NewServer.
+type Options struct {
+	Slots        int           // Adapters that fit at once.
+	LoadTime     time.Duration // Time of one load.
+	TokenTime    time.Duration // Time of one output token.
+	ChecksFence  bool          // Whether orders with an old fencing number are refused.
+	CrashMarker  string        // A body that contains it crashes the engine; none where empty.
+	RecordBodies bool          // Whether Runs keeps request bodies and headers.
+}
+
+// Run records one request that began to run.
+type Run struct {
+	Adapter   string
+	RequestID string
+	Header    http.Header
+	Body      string
+	Finished  bool // False while it runs and where it was cancelled or crashed.
+}
+
+// Server is one engine.
+type Server struct {
+	opts   Options
+	router chi.Router
+
+	mu        sync.Mutex
+	boot      ident.BootID
+	bootCtx   context.Context
+	kill      context.CancelFunc
+	resident  map[string]bool
+	running   map[string]int
+	fence     uint64
+	failLoads int
+	draining  bool
+	lostOrder int
+	runs      []*Run
+	evictions []string
+}
+
+// NewServer returns an engine that has just booted.
+func NewServer(opts Options) *Server {
+	s := &Server{opts: opts, router: chi.NewRouter()}
+	s.Restart()
+	s.router.Get("/health", s.health)
+	s.router.Get("/v1/models", s.models)
+	s.router.Post("/v1/load_lora_adapter", s.load)
+	s.router.Post("/v1/unload_lora_adapter", s.unload)
+	s.router.Post("/v1/chat/completions", s.complete)
+	s.router.Post("/v1/completions", s.complete)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(platform.HeaderBoot, string(s.Boot()))
+	s.router.ServeHTTP(w, r)
+}
+
+// Boot returns the boot id of the present life.
+func (s *Server) Boot() ident.BootID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.boot
+}
+
+// Restart ends all running requests and begins a new life with no adapters.
+func (s *Server) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.kill != nil {
+		s.kill()
+	}
+	s.boot = ident.BootID(ident.NewToken(bootIDBytes))
+	s.bootCtx, s.kill = context.WithCancel(context.Background())
+	s.resident = make(map[string]bool)
+	s.running = make(map[string]int)
+}
+
+// FailLoads makes the next n loads fail.
+func (s *Server) FailLoads(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failLoads = n
+}
+
+// LoseOrderAnswers carries out the next n orders and cuts their connections.
+func (s *Server) LoseOrderAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostOrder = n
+}
+
+// SetDraining makes the health answer ask for no new work.
+func (s *Server) SetDraining(draining bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = draining
+}
+
+// Runs returns a copy of what ran so far.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Run, 0, len(s.runs))
+	for _, r := range s.runs {
+		out = append(out, *r)
+	}
+	return out
+}
+
+// EvictedInUse returns the adapters that were unloaded while a request ran on
+// them. It stays empty where the promise holds.
+func (s *Server) EvictedInUse() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.evictions...)
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Server) models(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID string `json:"id"`
+	}
+	var list struct {
+		Data []model `json:"data"`
+	}
+	s.mu.Lock()
+	for name := range s.resident {
+		list.Data = append(list.Data, model{ID: name})
+	}
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, list)
+}
+
+type order struct {
+	Name string `json:"lora_name"`
+}
+
+func (s *Server) load(w http.ResponseWriter, r *http.Request) {
+	o, ok := s.acceptOrder(w, r)
+	if !ok {
+		return
+	}
+	if !wait(r.Context(), s.lifetime(), s.opts.LoadTime) {
+		panic(http.ErrAbortHandler)
+	}
+	s.mu.Lock()
+	status := s.finishLoad(o.Name)
+	s.mu.Unlock()
+	s.answerOrder(w, status)
+}
+
+func (s *Server) finishLoad(name string) int {
+	if s.failLoads > 0 {
+		s.failLoads--
+		return http.StatusInternalServerError
+	}
+	if !s.resident[name] && len(s.resident) >= s.opts.Slots {
+		return http.StatusBadRequest
+	}
+	s.resident[name] = true
+	return http.StatusOK
+}
+
+func (s *Server) unload(w http.ResponseWriter, r *http.Request) {
+	o, ok := s.acceptOrder(w, r)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	status := http.StatusNotFound
+	if s.resident[o.Name] {
+		status = http.StatusOK
+		delete(s.resident, o.Name)
+	}
+	if s.running[o.Name] > 0 {
+		s.evictions = append(s.evictions, o.Name)
+	}
+	s.mu.Unlock()
+	s.answerOrder(w, status)
+}
+
+func (s *Server) acceptOrder(w http.ResponseWriter, r *http.Request) (order, bool) {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Name == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return o, false
+	}
+	number, _ := strconv.ParseUint(r.Header.Get(platform.HeaderFence), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.opts.ChecksFence && number < s.fence {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return o, false
+	}
+	s.fence = max(s.fence, number)
+	return o, true
+}
+
+func (s *Server) answerOrder(w http.ResponseWriter, status int) {
+	s.mu.Lock()
+	lose := s.lostOrder > 0
+	if lose {
+		s.lostOrder--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+}
+
+type completion struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var c completion
+	if err := json.Unmarshal(body, &c); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if c.MaxTokens <= 0 {
+		c.MaxTokens = defaultMaxTokens
+	}
+	run, life, ok := s.begin(r, c, body)
+	if !ok {
+		writeJSON(w, http.StatusNotFound, errorBody("model not loaded: "+c.Model))
+		return
+	}
+	defer s.end(c.Model, life)
+	if s.opts.CrashMarker != "" && strings.Contains(string(body), s.opts.CrashMarker) {
+		s.Restart()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+	if c.Stream {
+		s.stream(w, r, c, life)
+	} else {
+		s.answer(w, r, c, life)
+	}
+	s.mu.Lock()
+	run.Finished = true
+	s.mu.Unlock()
+}
+
+func (s *Server) begin(r *http.Request, c completion, body []byte) (*Run, context.Context, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.resident[c.Model] {
+		return nil, nil, false
+	}
+	run := &Run{Adapter: c.Model, RequestID: r.Header.Get(platform.HeaderRequestID)}
+	if s.opts.RecordBodies {
+		run.Header = r.Header.Clone()
+		run.Body = string(body)
+	}
+	s.runs = append(s.runs, run)
+	s.running[c.Model]++
+	return run, s.bootCtx, true
+}
+
+func (s *Server) end(model string, life context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if life == s.bootCtx {
+		s.running[model]--
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, c completion, life context.Context) {
+	var text strings.Builder
+	for i := range c.MaxTokens {
+		if !wait(r.Context(), life, s.opts.TokenTime) {
+			panic(http.ErrAbortHandler)
+		}
+		text.WriteString(token(c.Model, i))
+	}
+	writeJSON(w, http.StatusOK, s.result(r, c, text.String()))
+}
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, c completion, life context.Context) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w)
+	for i := range c.MaxTokens {
+		if !wait(r.Context(), life, s.opts.TokenTime) {
+			panic(http.ErrAbortHandler)
+		}
+		data, _ := json.Marshal(chunkOf(r, c, token(c.Model, i)))
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+		_ = flush.Flush()
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	_ = flush.Flush()
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	Text         string   `json:"text,omitempty"`
+	FinishReason string   `json:"finish_reason,omitempty"`
+}
+
+type result struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+func (s *Server) result(r *http.Request, c completion, text string) result {
+	out := result{
+		ID:     "cmpl-" + r.Header.Get(platform.HeaderRequestID),
+		Object: "text_completion",
+		Model:  c.Model,
+		Usage:  &usage{PromptTokens: 1, CompletionTokens: c.MaxTokens, TotalTokens: c.MaxTokens + 1},
+	}
+	if isChat(r) {
+		out.Object = "chat.completion"
+		out.Choices = []choice{{Message: &message{Role: "assistant", Content: text}, FinishReason: "length"}}
+		return out
+	}
+	out.Choices = []choice{{Text: text, FinishReason: "length"}}
+	return out
+}
+
+func chunkOf(r *http.Request, c completion, text string) result {
+	out := result{ID: "cmpl-" + r.Header.Get(platform.HeaderRequestID), Object: "text_completion", Model: c.Model}
+	if isChat(r) {
+		out.Object = "chat.completion.chunk"
+		out.Choices = []choice{{Delta: &message{Content: text}}}
+		return out
+	}
+	out.Choices = []choice{{Text: text}}
+	return out
+}
+
+func isChat(r *http.Request) bool {
+	return strings.HasSuffix(r.URL.Path, "/chat/completions")
+}
+
+func token(model string, i int) string {
+	if i == 0 {
+		return model
+	}
+	return fmt.Sprintf(" t%d", i)
+}
+
+func errorBody(text string) any {
+	type inner struct {
+		Message string `json:"message"`
+	}
+	return struct {
+		Error inner `json:"error"`
+	}{inner{text}}
+}
+
+func (s *Server) lifetime() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bootCtx
+}
+
+// wait pauses for d and reports whether both contexts are still alive.
+func wait(request, life context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-request.Done():
+		return false
+	case <-life.Done():
+		return false
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
