--- /dev/null
+++ b/cmd/hyssop-load/main.go
@@ -0,0 +1,35 @@
+// Command hyssop-load runs the experiments that the decisions rest on and
+// drives bounded load at a fleet on loopback.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
+	"github.com/hyssoptiller/hyssoptiller/internal/process"
+)
+
+const exitFailure = 1
+
+// experiments are the sub-commands.
+var experiments = []experiment.Experiment{}
+
+func main() {
+	app := kingpin.New("hyssop-load", "Measures a hyssoptiller fleet and its decisions.")
+	var opts experiment.Options
+	process.Flag(app, "seed", "Seed of the generated arrivals.").Default("1").Uint64Var(&opts.Seed)
+	commands := make(map[string]experiment.Experiment)
+	for _, e := range experiments {
+		commands[app.Command(e.Name, e.Help).FullCommand()] = e
+	}
+	chosen := commands[kingpin.MustParse(app.Parse(os.Args[1:]))]
+	ctx, stop := process.SignalContext()
+	defer stop()
+	if err := chosen.Run(ctx, opts, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailure)
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -30,6 +30,7 @@
 	FleetListener net.Listener
 	AdminListener net.Listener
 	Log           *logrus.Entry
+	Dial          transport.DialFunc // Opens connections; TCP where nil.
 }
 
 // Agent is the agent process.
@@ -52,10 +53,11 @@
 		metrics: process.NewMetrics(),
 		ring:    timeline.NewRing(s.VM, clock, s.TimelineEvents),
 	}
-	endpoint := engine.NewClient(s.EndpointAddress, s.OrderTimeout)
+	endpoint := engine.NewClient(s.EndpointAddress, s.OrderTimeout, opts.Dial)
 	scheduler := schedule.New(schedule.Options{
 		Engine:   endpoint,
-		Fence:    func() engine.Fence { return 0 },
+		Fence:    func() (engine.Fence, bool) { return 0, false },
+		Permits:  schedule.UnlimitedLoads{},
 		Slots:    s.Slots,
 		Capacity: s.Capacity,
 		Log:      opts.Log,
--- a/internal/agent/intake/intake.go
+++ b/internal/agent/intake/intake.go
@@ -87,7 +87,7 @@
 		h.refuse(w, job, noTurn(err))
 		return
 	}
-	defer turn.Release()
+	defer func() { turn.Release(job.Cost) }()
 	h.record(timeline.KindRequestRunning, job)
 	resp, err := h.opts.Endpoint.Run(ctx, endpointRequest(ctx, job, body))
 	if err != nil {
@@ -104,6 +104,7 @@
 	header.Set("Trailer", wire.TrailerComplete)
 	header.Set("Content-Type", resp.Header.Get("Content-Type"))
 	header.Set(wire.HeaderAttempt, string(job.Attempt))
+	header.Set(wire.HeaderLoad, h.opts.Scheduler.Load(job).String())
 	header.Set(wire.HeaderBoot, resp.Header.Get(engine.HeaderBoot))
 	w.WriteHeader(resp.StatusCode)
 	out := &endMark{w: w, flush: http.NewResponseController(w), stream: job.Stream}
@@ -119,6 +120,7 @@
 func (h *Handler) refuse(w http.ResponseWriter, job wire.Job, r *refusal.Refusal) {
 	h.refusals.Inc(1)
 	r.RequestID = job.Request
+	w.Header().Set(wire.HeaderLoad, h.opts.Scheduler.Load(job).String())
 	h.opts.Timeline.Record(timeline.Event{
 		Kind: timeline.KindRequestRefused, Request: job.Request, Attempt: job.Attempt,
 		Organisation: job.Organisation, Detail: string(r.Code),
--- a/internal/agent/schedule/schedule.go
+++ b/internal/agent/schedule/schedule.go
@@ -6,6 +6,7 @@
 	"context"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
 // Scheduler decides when an attempt may run on the endpoint.
@@ -14,19 +15,31 @@
 	// adapter build stays resident. It returns a *refusal.Refusal with ran
 	// "no" where the job cannot run here, or the context's error.
 	Acquire(ctx context.Context, job wire.Job) (Turn, error)
-	// Load returns what the agent reports on each answer.
-	Load() Load
+	// Load returns what the agent reports on the answer to a job.
+	Load(job wire.Job) wire.Load
+	// EngineBooted tells that the engine runs under the given boot id. Where
+	// the id differs from the last one, residency is forgotten and rebuilt.
+	EngineBooted(boot ident.BootID)
 }
 
 // Turn is the right to run one attempt.
 type Turn interface {
-	// Release ends the turn. It is called once.
-	Release()
+	// Release ends the turn and tells how many tokens the attempt took. It is
+	// called once.
+	Release(usedTokens int64)
 }
 
-// Load is an agent's load as it rides on answers.
-type Load struct {
-	Running      int   // Attempts on the endpoint.
-	Queued       int   // Attempts that wait.
-	QueuedTokens int64 // Tokens that the waiting attempts may take.
+// LoadPermits rations adapter loads over the whole fleet.
+type LoadPermits interface {
+	// Acquire waits until one load may begin, or returns the context's error.
+	// The returned function ends the permit; it is called once.
+	Acquire(ctx context.Context) (release func(), err error)
+}
+
+// UnlimitedLoads is a LoadPermits that never waits, for tests.
+type UnlimitedLoads struct{}
+
+// Acquire implements LoadPermits.
+func (UnlimitedLoads) Acquire(ctx context.Context) (func(), error) {
+	return func() {}, ctx.Err()
 }
--- a/internal/agent/schedule/slots.go
+++ b/internal/agent/schedule/slots.go
@@ -11,6 +11,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/engine"
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
 )
@@ -19,8 +20,9 @@
 
 // Options configures New.
 type Options struct {
-	Engine   engine.Engine // Nil where the endpoint is a plain service.
-	Fence    func() engine.Fence
+	Engine   engine.Engine               // Nil where the endpoint is a plain service.
+	Fence    func() (engine.Fence, bool) // Fencing number; false while the process holds none.
+	Permits  LoadPermits
 	Slots    int // Adapter builds that the engine holds at once.
 	Capacity int // Attempts that the endpoint runs at once.
 	Log      *logrus.Entry
@@ -34,6 +36,7 @@
 	seats chan struct{}
 
 	mu    sync.Mutex
+	boot  ident.BootID
 	order sync.Mutex // Held while an order is with the engine.
 	inUse map[engine.Resident]int
 	last  map[engine.Resident]time.Time
@@ -68,8 +71,20 @@
 }
 
 // Load implements Scheduler.
-func (s *Slots) Load() Load {
-	return Load{Running: len(s.seats)}
+func (s *Slots) Load(wire.Job) wire.Load {
+	return wire.Load{Running: len(s.seats), Capacity: cap(s.seats)}
+}
+
+// EngineBooted implements Scheduler.
+func (s *Slots) EngineBooted(boot ident.BootID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if boot == s.boot {
+		return
+	}
+	s.boot = boot
+	s.inUse = make(map[engine.Resident]int)
+	s.last = make(map[engine.Resident]time.Time)
 }
 
 func (s *Slots) hold(ctx context.Context, build engine.Resident) error {
@@ -84,7 +99,7 @@
 	if err := s.makeRoom(ctx); err != nil {
 		return err
 	}
-	if err := s.opts.Engine.Load(ctx, build, s.opts.Fence()); err != nil {
+	if err := s.load(ctx, build); err != nil {
 		return loadFailed(err)
 	}
 	s.mu.Lock()
@@ -96,6 +111,16 @@
 	return nil
 }
 
+func (s *Slots) load(ctx context.Context, build engine.Resident) error {
+	release, err := s.opts.Permits.Acquire(ctx)
+	if err != nil {
+		return err
+	}
+	defer release()
+	fence, _ := s.opts.Fence()
+	return s.opts.Engine.Load(ctx, build, fence)
+}
+
 // take counts a use of a resident build and reports whether it is resident.
 func (s *Slots) take(build engine.Resident) bool {
 	s.mu.Lock()
@@ -115,7 +140,8 @@
 	if victim == (engine.Resident{}) {
 		return busy()
 	}
-	if err := s.opts.Engine.Unload(ctx, victim, s.opts.Fence()); err != nil {
+	fence, _ := s.opts.Fence()
+	if err := s.opts.Engine.Unload(ctx, victim, fence); err != nil {
 		return loadFailed(err)
 	}
 	s.opts.Timeline.Record(timeline.Event{
@@ -162,7 +188,7 @@
 }
 
 // Release implements Turn.
-func (t *turn) Release() {
+func (t *turn) Release(int64) {
 	t.slots.release(t.build)
 }
 
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -31,10 +31,35 @@
 	failedRetryAfter = 2 * time.Second
 )
 
-// Endpoints returns the agents that may run a job, best first.
+// Endpoints chooses agents for jobs and learns from their answers.
 type Endpoints interface {
 	// Candidates returns the VMs whose endpoint can run the job, best first.
+	// An attempt that is then sent is reported by Observe.
 	Candidates(job wire.Job) []vmlist.VM
+	// Observe tells what became of an attempt.
+	Observe(o Observation)
+}
+
+// Outcome says what became of an attempt.
+type Outcome int
+
+// Values of Outcome.
+const (
+	OutcomeSent    Outcome = iota // The attempt was sent; its answer is due.
+	OutcomeAnswer                 // The answer began.
+	OutcomeDone                   // The whole answer was passed on.
+	OutcomeRefused                // The agent refused; nothing ran.
+	OutcomeFailed                 // The agent or endpoint failed or did not answer.
+)
+
+// Observation tells Endpoints about one attempt.
+type Observation struct {
+	Job     wire.Job
+	VM      ident.VM
+	Outcome Outcome
+	Load    wire.Load     // The agent's load; zero where it did not answer.
+	Boot    ident.BootID  // The engine's boot id; empty where unknown.
+	Elapsed time.Duration // Since the attempt was sent.
 }
 
 // Options configures New.
--- a/internal/entry/dispatch/rendezvous.go
+++ b/internal/entry/dispatch/rendezvous.go
@@ -17,7 +17,7 @@
 }
 
 // Candidates implements Endpoints.
-func (r Rendezvous) Candidates(job wire.Job) []vmlist.VM {
+func (r *Rendezvous) Candidates(job wire.Job) []vmlist.VM {
 	view := r.Directory.View()
 	vms := view.Engines(job.Base)
 	if job.Service != "" {
@@ -37,6 +37,9 @@
 	return live
 }
 
+// Observe implements Endpoints; rendezvous hashing alone learns nothing.
+func (r *Rendezvous) Observe(Observation) {}
+
 func score(key string, vm vmlist.VM) uint64 {
 	return xxhash.Sum64String(key + "\x00" + string(vm.ID))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,6 +38,7 @@
 	FleetListener     net.Listener
 	AdminListener     net.Listener
 	Log               *logrus.Entry
+	Dial              transport.DialFunc // Opens connections to other processes; TCP where nil.
 }
 
 // Entry is the entry process.
@@ -78,7 +79,7 @@
 
 func (e *Entry) addServices() error {
 	s := e.opts.Settings
-	client, err := transport.NewClient(s.Security, e.clock)
+	client, err := transport.NewClient(s.Security, e.clock, e.opts.Dial)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -100,7 +101,7 @@
 	s := e.opts.Settings
 	dispatcher := dispatch.New(dispatch.Options{
 		Client:    client,
-		Endpoints: dispatch.Rendezvous{Directory: e.directory},
+		Endpoints: &dispatch.Rendezvous{Directory: e.directory},
 		Timeline:  e.ring,
 	})
 	return callers.NewHandler(callers.Options{
--- /dev/null
+++ b/internal/fleet/members/members.go
@@ -0,0 +1,85 @@
+// Package members tells a process which entries make up the fleet.
+//
+// It knows them from the platform's lagging VM list and from direct contact
+// only; there are no heartbeats through the key-value service. A member that
+// restarts has a new incarnation, so that the state held for the former one is
+// known to be lost.
+package members
+
+import (
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+)
+
+// Incarnation numbers the lives of the process on one VM. It is drawn from
+// the clock at start and grows from life to life; 0 is unknown.
+type Incarnation uint64
+
+// State says how much is known of a member.
+type State int
+
+// Values of State.
+const (
+	StateLive    State = iota // On the VM list, and answering where it was asked.
+	StateSilent               // On the VM list, and not answering.
+	StateLeaving              // Says or is said to be leaving.
+	StateGone                 // Off the VM list past its lag: certainly gone.
+)
+
+// Member is one entry of the fleet.
+type Member struct {
+	VM            ident.VM
+	Address       string // Fleet address.
+	FailureDomain ident.FailureDomain
+	Region        ident.Region
+	Incarnation   Incarnation
+	State         State
+}
+
+// View is what a process knows of the members. Implementations are safe for
+// concurrent use.
+type View interface {
+	// Self returns this process's own member.
+	Self() Member
+	// Entries returns all entries on the VM list, this one included, ordered
+	// by VM, and those that are gone but not yet forgotten.
+	Entries() []Member
+}
+
+// Listed is a View straight from the VM list, without direct contact.
+type Listed struct {
+	self      Member
+	directory *directory.Directory
+}
+
+// NewListed returns a Listed for the process that self describes.
+func NewListed(self Member, d *directory.Directory) *Listed {
+	return &Listed{self: self, directory: d}
+}
+
+// Self implements View.
+func (l *Listed) Self() Member {
+	return l.self
+}
+
+// Entries implements View.
+func (l *Listed) Entries() []Member {
+	var out []Member
+	for _, vm := range l.directory.View().Entries() {
+		if vm.ID == l.self.VM {
+			out = append(out, l.self)
+			continue
+		}
+		out = append(out, fromList(vm))
+	}
+	return out
+}
+
+func fromList(vm vmlist.VM) Member {
+	m := Member{VM: vm.ID, Address: vm.Address, FailureDomain: vm.FailureDomain, Region: vm.Region}
+	if vm.State == vmlist.StateLeaving {
+		m.State = StateLeaving
+	}
+	return m
+}
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -7,7 +7,9 @@
 package transport
 
 import (
+	"context"
 	"crypto/subtle"
+	"net"
 	"net/http"
 	"time"
 
@@ -74,12 +76,16 @@
 	return c.Scheme + "://" + address + path
 }
 
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a Client with the process's own credentials. The clock
-// may be nil.
-func NewClient(s Security, clock *hlc.Clock) (*Client, error) {
+// may be nil; connections are opened by dial, over TCP where it is nil.
+func NewClient(s Security, clock *hlc.Clock, dial DialFunc) (*Client, error) {
 	base := &http.Transport{
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		DisableCompression:  true,
+		DialContext:         dial,
 		Protocols:           new(http.Protocols),
 	}
 	scheme := "http"
--- a/internal/platform/engine/engine.go
+++ b/internal/platform/engine/engine.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -32,7 +33,13 @@
 	HeaderRequestID = "X-Request-Id"
 )
 
-const answerBytes = 1 << 20
+const (
+	answerBytes      = 1 << 20
+	idleConnsPerHost = 256
+)
+
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Errors of an Engine.
 const (
@@ -89,9 +96,10 @@
 }
 
 // NewClient returns a Client for the engine at address (host and port).
-// Orders and health checks take at most timeout.
-func NewClient(address string, timeout time.Duration) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+// Orders and health checks take at most timeout. Connections are opened by
+// dial, over TCP where it is nil.
+func NewClient(address string, timeout time.Duration, dial DialFunc) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnsPerHost, DialContext: dial}
 	return &Client{address: address, client: &http.Client{Transport: transport}, timeout: timeout}
 }
 
