hyssopctl: commands in internal/control, each registered by one function

Cause: the command line stood in main and offered only apply and grant. Change: Program holds flags, output and exit codes; commands lists the functions that add sub-commands.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -29,6 +29,7 @@
 	ErrInvalid      = errors.ConstError("not accepted")
 	ErrConflict     = errors.ConstError("conflict")
 	ErrUnavailable  = errors.ConstError("not possible now")
+	ErrNotInForce   = errors.ConstError("stored, but not in force at a majority of the entries")
 )
 
 // Client calls the operators' interface of one entry.
@@ -107,6 +108,13 @@
 	return out, err
 }
 
+// Status returns the state of the fleet as one entry knows it.
+func (c *Client) Status(ctx context.Context) (operators.Status, error) {
+	var out operators.Status
+	err := c.json(ctx, http.MethodGet, "/status", &out)
+	return out, err
+}
+
 // Timeline returns the events of the fleet.
 func (c *Client) Timeline(ctx context.Context) ([]timeline.Event, error) {
 	var out []timeline.Event
--- /dev/null
+++ b/internal/control/keys.go
@@ -0,0 +1,60 @@
+package control
+
+import (
+	"context"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+)
+
+// keysCommand holds the arguments of the key commands.
+type keysCommand struct {
+	program      *Program
+	organisation string
+	hash         string
+}
+
+func addKeys(p *Program) {
+	c := &keysCommand{program: p}
+	group := p.App.Command("keys", "Grants, withdraws and lists organisations' keys.")
+	grant := group.Command("grant", "Grants a new key and prints it once; only its hash is stored.")
+	grant.Arg("organisation", "Organisation that gets the key.").Required().StringVar(&c.organisation)
+	p.Handle(grant, c.grant)
+	withdraw := group.Command("withdraw", "Withdraws a key and waits until it is in force.")
+	withdraw.Arg("organisation", "Organisation whose key it is.").Required().StringVar(&c.organisation)
+	withdraw.Arg("hash", "Hash of the key, or the beginning of it; may be left out where there is one key.").StringVar(&c.hash)
+	p.Handle(withdraw, c.withdraw)
+	list := group.Command("list", "Lists the hashes of an organisation's keys.")
+	list.Arg("organisation", "Organisation whose keys to list.").Required().StringVar(&c.organisation)
+	p.Handle(list, c.list)
+}
+
+func (c *keysCommand) grant(ctx context.Context) error {
+	granted, err := c.program.Client().GrantKey(ctx, ident.Organisation(c.organisation))
+	if err != nil {
+		return err
+	}
+	return c.program.Print(granted, Table{
+		Heading: []string{"KEY", "HASH", "REVISION"},
+		Rows:    [][]string{{granted.Key, string(granted.Hash), formatRevision(granted.Revision)}},
+	})
+}
+
+func (c *keysCommand) withdraw(ctx context.Context) error {
+	withdrawn, err := c.program.Client().WithdrawKey(ctx, ident.Organisation(c.organisation), ident.KeyHash(c.hash))
+	if err != nil {
+		return err
+	}
+	return c.program.Print(withdrawn, revisionTable(withdrawn.Revision))
+}
+
+func (c *keysCommand) list(ctx context.Context) error {
+	keys, err := c.program.Client().ListKeys(ctx, ident.Organisation(c.organisation))
+	if err != nil {
+		return err
+	}
+	t := Table{Heading: []string{"HASH", "ORGANISATION"}}
+	for _, k := range keys {
+		t.Rows = append(t.Rows, []string{string(k.Hash), string(k.Organisation)})
+	}
+	return c.program.Print(keys, t)
+}
--- a/internal/entry/operators/operators.go
+++ b/internal/entry/operators/operators.go
@@ -183,7 +183,7 @@
 }
 
 func (h *handler) status(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, revisionBody{h.opts.Config().Revision()})
+	writeJSON(w, http.StatusOK, Status{Revision: h.opts.Config().Revision()})
 }
 
 type errorBody struct {
