--- /dev/null
+++ b/internal/fleet/config/fanout.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+)
+
+const (
+	// watchersPerDomain is the number of entries of each failure domain that
+	// watch the store.
+	watchersPerDomain = 2
+	// fanout is the number of entries that each one passes a revision on to,
+	// in each of the two trees of its domain.
+	fanout = 8
+	// maxDomains bounds the other domains that a domain's first watcher
+	// passes a revision on to.
+	maxDomains = 8
+)
+
+// Role is the part that one entry has in spreading the configuration.
+type Role struct {
+	Watches bool             // Whether it watches the store.
+	Targets []members.Member // Whom it passes a new revision on to.
+	Parents []members.Member // Who passes revisions on to it.
+}
+
+// RoleOf returns the part of self among the entries. All entries that see the
+// same members come to the same trees: in each failure domain two trees over
+// its live entries, in opposite orders, so that each entry but the first two
+// has two different parents.
+func RoleOf(self members.Member, entries []members.Member) Role {
+	domains := rank(self, entries)
+	own := domains[self.FailureDomain]
+	var role Role
+	for _, tree := range [][]members.Member{own, opposite(own)} {
+		at := slices.IndexFunc(tree, func(m members.Member) bool { return m.VM == self.VM })
+		role.Watches = role.Watches || at == 0 || len(own) <= watchersPerDomain
+		role.Targets = append(role.Targets, childrenOf(tree, at)...)
+		if at > 0 {
+			role.Parents = append(role.Parents, tree[(at-1)/fanout])
+		}
+	}
+	if own[0].VM == self.VM {
+		role.Targets = append(role.Targets, firstOfOthers(domains, self.FailureDomain)...)
+	}
+	role.Targets = distinct(role.Targets)
+	return role
+}
+
+// rank orders the entries of each failure domain by rendezvous hashing. An
+// entry that does not answer has no part in the trees; self always has.
+func rank(self members.Member, entries []members.Member) map[ident.FailureDomain][]members.Member {
+	out := map[ident.FailureDomain][]members.Member{self.FailureDomain: {self}}
+	for _, m := range entries {
+		if m.VM != self.VM && m.State == members.StateLive {
+			out[m.FailureDomain] = append(out[m.FailureDomain], m)
+		}
+	}
+	for _, domain := range out {
+		slices.SortFunc(domain, func(a, b members.Member) int {
+			if c := cmp.Compare(weight(a), weight(b)); c != 0 {
+				return c
+			}
+			return cmp.Compare(a.VM, b.VM)
+		})
+	}
+	return out
+}
+
+func weight(m members.Member) uint64 {
+	return xxhash.Sum64String(string(m.FailureDomain) + "\x00" + string(m.VM))
+}
+
+// opposite returns the second tree: the second entry first and the others in
+// the opposite order.
+func opposite(tree []members.Member) []members.Member {
+	if len(tree) < watchersPerDomain {
+		return nil
+	}
+	out := []members.Member{tree[1]}
+	for i := len(tree) - 1; i > 1; i-- {
+		out = append(out, tree[i])
+	}
+	return append(out, tree[0])
+}
+
+func childrenOf(tree []members.Member, at int) []members.Member {
+	if at < 0 {
+		return nil
+	}
+	first := min(at*fanout+1, len(tree))
+	return tree[first:min(first+fanout, len(tree))]
+}
+
+func firstOfOthers(domains map[ident.FailureDomain][]members.Member, own ident.FailureDomain) []members.Member {
+	var out []members.Member
+	for domain, tree := range domains {
+		if domain != own {
+			out = append(out, tree[0])
+		}
+	}
+	slices.SortFunc(out, func(a, b members.Member) int { return cmp.Compare(weight(a), weight(b)) })
+	return out[:min(len(out), maxDomains)]
+}
+
+func distinct(list []members.Member) []members.Member {
+	var out []members.Member
+	for _, m := range list {
+		if !slices.ContainsFunc(out, func(o members.Member) bool { return o.VM == m.VM }) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- a/internal/fleet/config/snapshot.go
+++ b/internal/fleet/config/snapshot.go
@@ -1,8 +1,12 @@
 package config
 
 import (
+	"encoding/json"
 	"strings"
 
+	"github.com/juju/errors"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config/hashtree"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
@@ -17,43 +21,78 @@
 }
 
 // Snapshot is the whole configuration of one revision. It is immutable and
-// safe for concurrent use.
+// safe for concurrent use. Adapters and keys are looked up in the tree itself,
+// so that a new revision costs no walk over them.
 type Snapshot struct {
 	revision Revision
-	keys     map[ident.KeyHash]ident.Organisation
+	top      *hashtree.Tree
+	tables   tables
 	tenants  map[ident.Organisation]Tenant
-	plans    map[ident.Plan]*planIndex
+	plans    map[ident.Plan]planIndex
 	open     map[ident.Service][]Route
 }
 
 type planIndex struct {
-	adapters map[ident.Adapter]AdapterUse
-	order    []AdapterUse
+	adapters *hashtree.Tree
 	services map[ident.Service][]Route
 }
 
-// NewSnapshot indexes the lists of one revision.
+// NewSnapshot returns the snapshot of one revision's lists.
 func NewSnapshot(revision Revision, plans Plans, allowances Allowances, keys []Key) *Snapshot {
+	t := tables{plans: plansTree(plans), allowances: allowancesTree(allowances), keys: keysTree(keys)}
+	s, err := snapshotOf(revision, t.top())
+	if err != nil {
+		panic(err) // What was just encoded can be decoded.
+	}
+	return s
+}
+
+// snapshotOf indexes a tree, or returns ErrCorrupt.
+func snapshotOf(revision Revision, top *hashtree.Tree) (*Snapshot, error) {
 	s := &Snapshot{
 		revision: revision,
-		keys:     make(map[ident.KeyHash]ident.Organisation, len(keys)),
-		tenants:  make(map[ident.Organisation]Tenant, len(plans.Plans)),
-		plans:    make(map[ident.Plan]*planIndex, len(allowances.Allowances)),
+		top:      top,
+		tables:   tablesOf(top),
+		tenants:  make(map[ident.Organisation]Tenant),
+		plans:    make(map[ident.Plan]planIndex),
 		open:     make(map[ident.Service][]Route),
 	}
-	for _, k := range keys {
-		s.keys[k.Hash] = k.Organisation
+	limits := make(map[ident.Plan]allowanceValue)
+	if err := eachRow(s.tables.allowances, func(row hashtree.Row) error { return s.addPlan(row, limits) }); err != nil {
+		return nil, err
 	}
-	limits := make(map[ident.Plan]Allowance, len(allowances.Allowances))
-	for _, a := range allowances.Allowances {
-		limits[a.Plan] = a
-		s.plans[a.Plan] = indexPlan(a)
-		s.indexOpen(a)
+	plans, err := plansOf(s.tables.plans)
+	if err != nil {
+		return nil, err
 	}
 	for _, p := range plans.Plans {
 		s.tenants[p.Organisation] = newTenant(p, limits[p.Plan])
 	}
-	return s
+	return s, nil
+}
+
+func (s *Snapshot) addPlan(row hashtree.Row, limits map[ident.Plan]allowanceValue) error {
+	v, err := decodeAllowance(row)
+	if err != nil {
+		return err
+	}
+	plan := ident.Plan(row.Key)
+	limits[plan] = v
+	index := planIndex{adapters: row.Tree, services: make(map[ident.Service][]Route, len(v.Services))}
+	for _, service := range v.Services {
+		index.services[service.Name] = service.Routes
+		s.addOpen(service)
+	}
+	s.plans[plan] = index
+	return nil
+}
+
+func (s *Snapshot) addOpen(service ServiceUse) {
+	for _, route := range service.Routes {
+		if route.Open {
+			s.open[service.Name] = append(s.open[service.Name], route)
+		}
+	}
 }
 
 // Revision returns the revision that the snapshot holds; 0 before the first.
@@ -61,10 +100,16 @@
 	return s.revision
 }
 
+// Root returns the hash of the snapshot's tree. Snapshots with equal roots
+// hold the same configuration.
+func (s *Snapshot) Root() hashtree.Hash {
+	return s.top.Hash()
+}
+
 // Key returns the organisation that a key was granted to.
 func (s *Snapshot) Key(hash ident.KeyHash) (ident.Organisation, bool) {
-	org, ok := s.keys[hash]
-	return org, ok
+	row, ok := s.tables.keys.Get(string(hash))
+	return ident.Organisation(row.Value), ok
 }
 
 // Tenant returns what an organisation's plan gives it.
@@ -79,18 +124,21 @@
 	if !ok {
 		return AdapterUse{}, false
 	}
-	use, ok := plan.adapters[name]
-	return use, ok
+	row, ok := plan.adapters.Get(string(name))
+	if !ok {
+		return AdapterUse{}, false
+	}
+	return decodeAdapter(row), true
 }
 
-// Adapters returns the builds that an organisation's plan names, in the
-// order of the list. The caller must not change the slice.
+// Adapters returns the builds that an organisation's plan names, ordered by
+// name.
 func (s *Snapshot) Adapters(org ident.Organisation) []AdapterUse {
 	plan, ok := s.planOf(org)
 	if !ok {
 		return nil
 	}
-	return plan.order
+	return adaptersOf(plan.adapters)
 }
 
 // Route returns the route of a service that an organisation's plan names.
@@ -107,41 +155,22 @@
 	return matchRoute(s.open[service], method, path)
 }
 
-func (s *Snapshot) planOf(org ident.Organisation) (*planIndex, bool) {
+func (s *Snapshot) planOf(org ident.Organisation) (planIndex, bool) {
 	t, ok := s.tenants[org]
 	if !ok {
-		return nil, false
+		return planIndex{}, false
 	}
 	plan, ok := s.plans[t.Plan]
 	return plan, ok
 }
 
-func (s *Snapshot) indexOpen(a Allowance) {
-	for _, service := range a.Services {
-		for _, route := range service.Routes {
-			if route.Open {
-				s.open[service.Name] = append(s.open[service.Name], route)
-			}
-		}
-	}
-}
-
-func indexPlan(a Allowance) *planIndex {
-	index := &planIndex{
-		adapters: make(map[ident.Adapter]AdapterUse, len(a.Adapters)),
-		order:    a.Adapters,
-		services: make(map[ident.Service][]Route, len(a.Services)),
-	}
-	for _, use := range a.Adapters {
-		index.adapters[use.Name] = use
-	}
-	for _, service := range a.Services {
-		index.services[service.Name] = service.Routes
-	}
-	return index
+func decodeAllowance(row hashtree.Row) (allowanceValue, error) {
+	var v allowanceValue
+	err := json.Unmarshal(row.Value, &v)
+	return v, errors.Trace(err)
 }
 
-func newTenant(p PlanEntry, a Allowance) Tenant {
+func newTenant(p PlanEntry, a allowanceValue) Tenant {
 	return Tenant{
 		Organisation:    p.Organisation,
 		Plan:            p.Plan,
--- /dev/null
+++ b/internal/fleet/gossip/peers.go
@@ -0,0 +1,33 @@
+package gossip
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/rpc"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
+)
+
+type twirpPeers struct {
+	client *transport.Client
+}
+
+// NewPeers returns Peers that call over client.
+func NewPeers(client *transport.Client) Peers {
+	return twirpPeers{client}
+}
+
+// Exchange implements Peers.
+func (p twirpPeers) Exchange(
+	ctx context.Context, with members.Member, req *rpc.ExchangeRequest,
+) (*rpc.ExchangeResponse, error) {
+	service := rpc.NewGossipProtobufClient(p.client.URL(with.Address, ""), p.client.HTTP)
+	return service.Exchange(ctx, req)
+}
+
+// NewServer returns the HTTP handler of the service gossip, to be mounted at
+// rpc.GossipPathPrefix.
+func NewServer(service rpc.Gossip) http.Handler {
+	return rpc.NewGossipServer(service)
+}
