--- a/internal/entry/callers/body.go
+++ b/internal/entry/callers/body.go
@@ -10,8 +10,25 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
 )
 
-// readBody reads the whole body within the size limit and the time that a
-// caller may take to send it.
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	maxIdempotencyBytes  = 255
+)
+
+// readRequest reads the whole body and checks what goes on to the endpoint.
+func (h *handler) readRequest(c *call) ([]byte, *refusal.Refusal) {
+	if len(c.r.Header.Get(headerIdempotencyKey)) > maxIdempotencyBytes {
+		return nil, badRequest("the Idempotency-Key is longer than 255 bytes")
+	}
+	body, refused := h.readBody(c)
+	if refused != nil {
+		return nil, refused
+	}
+	return body, refuseLeak(c, body)
+}
+
+// readBody reads the body within the size limit and the time that a caller may
+// take to send it.
 func (h *handler) readBody(c *call) ([]byte, *refusal.Refusal) {
 	control := http.NewResponseController(c.w)
 	_ = control.SetReadDeadline(time.Now().Add(h.opts.BodyTimeout))
--- a/internal/entry/callers/callers.go
+++ b/internal/entry/callers/callers.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -86,15 +87,25 @@
 }
 
 func (h *handler) begin(w http.ResponseWriter, r *http.Request) *call {
-	id := ident.RequestID(r.Header.Get(HeaderRequestID))
-	if !ident.ValidRequestID(string(id)) {
-		id = ident.NewRequestID()
-	}
+	id := requestID(r)
 	w.Header().Set(HeaderRequestID, string(id))
 	h.metrics.requests.Inc(1)
 	return &call{id: id, w: w, r: r, config: h.opts.Config()}
 }
 
+// requestID takes the caller's request id, or makes one where it has none,
+// where it is malformed and where it holds the caller's key.
+func requestID(r *http.Request) ident.RequestID {
+	id := r.Header.Get(HeaderRequestID)
+	if !ident.ValidRequestID(id) {
+		return ident.NewRequestID()
+	}
+	if key := bearerKey(r); key != "" && strings.Contains(id, key) {
+		return ident.NewRequestID()
+	}
+	return ident.RequestID(id)
+}
+
 // refuse ends a call with a refusal.
 func (h *handler) refuse(c *call, r *refusal.Refusal) {
 	r.RequestID = c.id
--- a/internal/entry/callers/completions.go
+++ b/internal/entry/callers/completions.go
@@ -35,7 +35,7 @@
 		h.refuse(c, refused)
 		return
 	}
-	body, refused := h.readBody(c)
+	body, refused := h.readRequest(c)
 	if refused != nil {
 		h.refuse(c, refused)
 		return
--- a/internal/entry/callers/services.go
+++ b/internal/entry/callers/services.go
@@ -13,11 +13,8 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
 )
 
-const (
-	headerIdempotencyKey = "Idempotency-Key"
-	maxIdempotencyBytes  = 255
-	serviceCostTokens    = 1
-)
+// serviceCostTokens is what one call of a plain service counts.
+const serviceCostTokens = 1
 
 // service routes a call to a plain service.
 func (h *handler) service(w http.ResponseWriter, r *http.Request) {
@@ -29,7 +26,7 @@
 		h.refuse(c, refused)
 		return
 	}
-	body, refused := h.readBody(c)
+	body, refused := h.readRequest(c)
 	if refused != nil {
 		h.refuse(c, refused)
 		return
@@ -47,9 +44,6 @@
 	if refused := h.authenticate(c); refused != nil {
 		return config.Route{}, refused
 	}
-	if len(c.r.Header.Get(headerIdempotencyKey)) > maxIdempotencyBytes {
-		return config.Route{}, badRequest("the Idempotency-Key is longer than 255 bytes")
-	}
 	route, ok = c.config.Route(c.tenant.Organisation, service, c.r.Method, path)
 	if !ok {
 		return config.Route{}, unknownRoute()
