--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,46 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+)
+
+func TestEachWrongSettingHasALineOfItsOwn(t *testing.T) {
+	var c Checker
+	c.Name("vm", "entry 1")
+	c.Address("callers", "8080")
+	c.Address("fleet", "localhost:70000")
+	c.Positive("drain-timeout", 0)
+	c.AtLeast("capacity", 0, 1)
+	c.URL("vm-list", "10.0.0.9")
+	err := c.Err()
+	if !errors.Is(err, ErrInvalid) {
+		t.Fatalf("error %v", err)
+	}
+	lines := strings.Split(err.Error(), "\n")
+	want := []string{
+		"--vm (HYSSOP_VM)", "--callers (HYSSOP_CALLERS)", "--fleet (HYSSOP_FLEET)", "--fleet (HYSSOP_FLEET)",
+		"--drain-timeout (HYSSOP_DRAIN_TIMEOUT)", "--capacity (HYSSOP_CAPACITY)", "--vm-list (HYSSOP_VM_LIST)",
+	}
+	if len(lines) != len(want) {
+		t.Fatalf("%d lines, want %d:\n%s", len(lines), len(want), err)
+	}
+	for i, line := range lines {
+		if !strings.HasPrefix(line, want[i]+": ") {
+			t.Errorf("line %q, want %q", line, want[i])
+		}
+	}
+}
+
+func TestGoodSettingsPass(t *testing.T) {
+	var c Checker
+	c.Name("vm", "entry-1")
+	c.Address("callers", "127.0.0.1:8080")
+	c.Address("admin", ":0")
+	c.URL("vm-list", "http://10.0.0.9:8501/vms")
+	if err := c.Err(); err != nil {
+		t.Error(err)
+	}
+}
