--- a/cmd/hyssop-demo/main.go
+++ b/cmd/hyssop-demo/main.go
@@ -22,7 +22,13 @@
 	level := process.LevelFlag(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	log := process.NewLogger(os.Stderr, process.ParseLevel(*level), "hyssop-demo")
-	d, err := demo.New(demo.Options{Callers: strings.Split(*callers, ","), Operators: *operators, Log: log})
+	d, err := demo.New(demo.Options{
+		Callers:   strings.Split(*callers, ","),
+		Operators: *operators,
+		TokenTime: demo.EngineTokenTime,
+		LoadTime:  demo.EngineLoadTime,
+		Log:       log,
+	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailure)
--- a/cmd/hyssop-load/main.go
+++ b/cmd/hyssop-load/main.go
@@ -9,13 +9,16 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/drive"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
 const exitFailure = 1
 
 // experiments are the sub-commands.
-var experiments = []experiment.Experiment{}
+var experiments = []experiment.Experiment{
+	drive.New(),
+}
 
 func main() {
 	app := kingpin.New("hyssop-load", "Measures a hyssoptiller fleet and its decisions.")
@@ -23,7 +26,11 @@
 	process.Flag(app, "seed", "Seed of the generated arrivals.").Default("1").Uint64Var(&opts.Seed)
 	commands := make(map[string]experiment.Experiment)
 	for _, e := range experiments {
-		commands[app.Command(e.Name, e.Help).FullCommand()] = e
+		cmd := app.Command(e.Name, e.Help)
+		if e.Flags != nil {
+			e.Flags(cmd)
+		}
+		commands[cmd.FullCommand()] = e
 	}
 	chosen := commands[kingpin.MustParse(app.Parse(os.Args[1:]))]
 	ctx, stop := process.SignalContext()
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -28,6 +28,12 @@
 	vmliststandin "github.com/hyssoptiller/hyssoptiller/internal/standin/vmlist"
 )
 
+// Times of the demo's engines.
+const (
+	EngineLoadTime  = 250 * time.Millisecond
+	EngineTokenTime = 20 * time.Millisecond
+)
+
 // OperatorsToken is the operators' credential of the demo.
 const OperatorsToken = "demo-operators-token"
 
@@ -36,8 +42,6 @@
 	engines          = 4
 	slots            = 4
 	capacity         = 16
-	engineLoadTime   = 250 * time.Millisecond
-	engineTokenTime  = 20 * time.Millisecond
 	drainTimeout     = 30 * time.Second
 	storeTimeout     = 2 * time.Second
 	requestTimeout   = 2 * time.Minute
@@ -56,9 +60,13 @@
 
 // Options configures New.
 type Options struct {
-	Callers   []string // Listen address of each entry for callers.
-	Operators string   // Listen address of the first entry for operators.
-	Log       *logrus.Entry
+	Callers    []string      // Listen address of each entry for callers.
+	Operators  string        // Listen address of the first entry for operators.
+	TokenTime  time.Duration // Engines' time of one output token.
+	LoadTime   time.Duration // Engines' time of one adapter load.
+	Allowances string        // Text of the allowances list; the demo's own where empty.
+	Record     bool          // Whether the engines keep bodies and headers.
+	Log        *logrus.Entry
 }
 
 // Demo is the running fleet.
@@ -87,7 +95,11 @@
 		opts:    opts,
 		tree:    process.NewSupervisor("demo", opts.Log, drainTimeout),
 	}
-	if err := Seed(context.Background(), d.Memory); err != nil {
+	allowances := opts.Allowances
+	if allowances == "" {
+		allowances = seedAllowances
+	}
+	if err := seed(context.Background(), d.Memory, allowances); err != nil {
 		return nil, err
 	}
 	d.VMs = vmliststandin.NewServer(vmListLag)
@@ -160,7 +172,8 @@
 func (d *Demo) addEngines() error {
 	for i := range engines {
 		server := enginestandin.NewServer(enginestandin.Options{
-			Slots: slots, LoadTime: engineLoadTime, TokenTime: engineTokenTime, ChecksFence: true, RecordBodies: true,
+			Slots: slots, LoadTime: d.opts.LoadTime, TokenTime: d.opts.TokenTime,
+			ChecksFence: true, RecordBodies: d.opts.Record,
 		})
 		d.Engines = append(d.Engines, server)
 		vm := vmlist.VM{
@@ -307,8 +320,12 @@
 
 // Seed writes the demo's lists and keys to a store's memory.
 func Seed(ctx context.Context, memory *store.Memory) error {
+	return seed(ctx, memory, seedAllowances)
+}
+
+func seed(ctx context.Context, memory *store.Memory, allowances string) error {
 	editor := config.NewEditor(prefixed{memory})
-	if _, err := editor.Apply(ctx, config.ListAllowances, seedAllowances, 0); err != nil {
+	if _, err := editor.Apply(ctx, config.ListAllowances, allowances, 0); err != nil {
 		return errors.Annotate(err, "seed allowances")
 	}
 	if _, err := editor.Apply(ctx, config.ListPlans, seedPlans, 1); err != nil {
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -13,10 +13,17 @@
 )
 
 // start runs a demo fleet on free ports until the test ends.
-func start(t *testing.T) *Demo {
+func start(t testing.TB) *Demo {
 	t.Helper()
-	log := process.NewLogger(io.Discard, logrus.ErrorLevel, "demo-test")
-	d, err := New(Options{Callers: []string{loopbackFreePort, loopbackFreePort}, Operators: loopbackFreePort, Log: log})
+	return startWith(t, Options{Record: true})
+}
+
+func startWith(t testing.TB, opts Options) *Demo {
+	t.Helper()
+	opts.Callers = []string{loopbackFreePort, loopbackFreePort}
+	opts.Operators = loopbackFreePort
+	opts.Log = process.NewLogger(io.Discard, logrus.ErrorLevel, "demo-test")
+	d, err := New(opts)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,7 +40,7 @@
 	return d
 }
 
-func post(t *testing.T, url, key, body string) (int, string) {
+func post(t testing.TB, url, key, body string) (int, string) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -9,6 +9,8 @@
 	"io"
 	"strings"
 	"text/tabwriter"
+
+	"github.com/alecthomas/kingpin/v2"
 )
 
 // Options is what every experiment takes.
@@ -20,7 +22,11 @@
 type Experiment struct {
 	Name string // Sub-command of hyssop-load.
 	Help string // One sentence.
-	Run  func(ctx context.Context, opts Options, out io.Writer) error
+	// Flags adds the experiment's own flags to its sub-command; nil where it
+	// has none.
+	Flags func(cmd *kingpin.CmdClause)
+	// Run measures and prints.
+	Run func(ctx context.Context, opts Options, out io.Writer) error
 }
 
 // Table prints rows of cells under a heading in aligned columns.
