--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -45,6 +45,7 @@
 	addLists,
 	addKeys,
 	addStatus,
+	addTLS,
 }
 
 // Program is the command line of hyssopctl.
