Shutdown in stages: callers' requests end while keys, configuration and limits are still watched

Cause: all services of a process ended together, so that an open stream outlived the watch on its key during the drain.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,7 +40,8 @@
 	metrics *process.Metrics
 	ring    *timeline.Ring
 	intake  *intake.Handler
-	tree    *suture.Supervisor
+	tree    *suture.Supervisor // What running work rests on.
+	front   *suture.Supervisor // Entries' listener; ends first.
 }
 
 // New builds the agent's supervisor tree.
@@ -78,7 +79,8 @@
 	}
 	admin := process.AdminHandler(a.ready, a.metrics)
 	a.tree = process.NewSupervisor("agent", opts.Log, s.DrainTimeout)
-	a.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: opts.FleetListener, Grace: s.DrainTimeout})
+	a.front = process.NewSupervisor("agent front", opts.Log, s.DrainTimeout)
+	a.front.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: opts.FleetListener, Grace: s.DrainTimeout})
 	a.tree.Add(process.NewHTTPServer("admin", opts.AdminListener, admin, time.Second))
 	return a, nil
 }
@@ -89,18 +91,11 @@
 	defer a.metrics.Close()
 	a.ring.Record(timeline.Event{Kind: timeline.KindProcessStarted})
 	a.ready.Set()
-	tree, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	done := a.tree.ServeBackground(tree)
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
+	return process.NewStages(a.tree, a.front).Serve(ctx, a.drain)
+}
+
+func (a *Agent) drain() {
 	a.ready.Not("draining")
 	a.intake.Drain()
 	a.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
-	stop()
-	<-done
-	return nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,7 +51,8 @@
 	replica   *config.Replica
 	directory *directory.Directory
 	running   *running.Index
-	tree      *suture.Supervisor
+	tree      *suture.Supervisor // What callers' requests rest on.
+	front     *suture.Supervisor // Callers' listener; ends first.
 }
 
 // New builds the entry's supervisor tree.
@@ -69,6 +70,7 @@
 		directory: directory.New(directory.Options{List: opts.VMList, Interval: s.VMListInterval, Log: opts.Log}),
 		running:   running.NewIndex(),
 		tree:      process.NewSupervisor("entry", opts.Log, s.DrainTimeout),
+		front:     process.NewSupervisor("entry front", opts.Log, s.DrainTimeout),
 	}
 	e.replica.OnChange(e.configChanged)
 	if err := e.addServices(); err != nil {
@@ -89,7 +91,7 @@
 	}
 	e.tree.Add(e.replica)
 	e.tree.Add(e.directory)
-	e.tree.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
+	e.front.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
 	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(), time.Second))
 	e.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: e.opts.FleetListener, Grace: s.DrainTimeout})
 	admin := process.AdminHandler(e.ready, e.metrics)
@@ -139,24 +141,17 @@
 
 // Serve runs the entry until ctx ends, then drains: /readyz fails, the
 // balancer gets the drain delay to notice, and running requests finish within
-// the drain timeout.
+// the drain timeout while keys and configuration are still watched.
 func (e *Entry) Serve(ctx context.Context) error {
 	defer e.metrics.Close()
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessStarted})
-	tree, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	done := e.tree.ServeBackground(tree)
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
+	return process.NewStages(e.tree, e.front).Serve(ctx, e.drain)
+}
+
+func (e *Entry) drain() {
 	e.ready.Not("draining")
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
 	time.Sleep(e.opts.Settings.DrainDelay)
-	stop()
-	<-done
-	return nil
 }
 
 // alwaysFresh trusts the configuration whatever its age.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -54,6 +54,7 @@
 	c.Positive("request-timeout", s.RequestTimeout)
 	c.Positive("body-timeout", s.BodyTimeout)
 	c.Positive("write-timeout", s.WriteTimeout)
+	c.AtLeast("drain-delay", s.DrainDelay.Nanoseconds(), 0)
 	c.Positive("drain-timeout", s.DrainTimeout)
 	c.Positive("store-timeout", s.StoreTimeout)
 	c.Positive("vm-list-interval", s.VMListInterval)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -29,6 +29,8 @@
 const (
 	reportInterval    = time.Second
 	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
 )
 
 // NewLogger returns a logger of structured lines on out.
@@ -134,7 +136,12 @@
 // NewHTTPServer returns a supervised server with the limits that protect a
 // process from slow clients.
 func NewHTTPServer(name string, l net.Listener, h http.Handler, grace time.Duration) *HTTPServer {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
 	return &HTTPServer{Name: name, Server: server, Listener: l, Grace: grace}
 }
 
