Callers: a key withdrawn before its request is indexed is refused; callers that go away are counted apart

Cause: a withdrawal between authentication and indexing found no request to cut, and the stream would have run on. A test withdraws the key at that step.

--- a/internal/entry/callers/callers.go
+++ b/internal/entry/callers/callers.go
@@ -126,6 +126,10 @@
 func (h *handler) run(c *call, req dispatch.Request) {
 	ctx, done := h.track(c)
 	defer done()
+	if h.withdrawnMeanwhile(c) {
+		h.refuse(c, unknownKey())
+		return
+	}
 	grant, err := h.reserve(ctx, c, req.Job.Cost)
 	if err != nil {
 		h.refuse(c, limited(err))
@@ -148,6 +152,17 @@
 	return h.opts.Running.Add(c.r.Context(), c.key)
 }
 
+// withdrawnMeanwhile reports whether the key went between the call's
+// authentication and its entry in the index of running requests, where a
+// withdrawal finds it.
+func (h *handler) withdrawnMeanwhile(c *call) bool {
+	if c.key == "" {
+		return false
+	}
+	_, granted := h.opts.Config().Key(c.key)
+	return !granted
+}
+
 func (h *handler) reserve(ctx context.Context, c *call, cost int64) (admission.Grant, error) {
 	if c.key == "" {
 		return openGrant{}, nil
@@ -156,24 +171,37 @@
 }
 
 func (h *handler) finish(ctx context.Context, c *call, req dispatch.Request, result dispatch.Result) {
-	if errors.Is(context.Cause(ctx), running.ErrKeyWithdrawn) {
+	whole := result.Refusal == nil && !result.Broken
+	switch {
+	case whole:
+		h.answered(c)
+	case errors.Is(context.Cause(ctx), running.ErrKeyWithdrawn):
 		h.cut(c, req, result)
-		return
-	}
-	if result.Refusal != nil {
+	case c.r.Context().Err() != nil:
+		h.cancelled(c)
+	case result.Refusal != nil:
 		h.refuse(c, result.Refusal)
-		return
-	}
-	if result.Broken {
+	default:
 		h.broken(c, req, brokenAnswer())
-		return
 	}
+}
+
+func (h *handler) answered(c *call) {
 	h.metrics.answers.Inc(1)
 	h.opts.Timeline.Record(timeline.Event{
 		Kind: timeline.KindRequestFinished, Request: c.id, Organisation: c.tenant.Organisation,
 	})
 }
 
+// cancelled ends a request whose caller has gone.
+func (h *handler) cancelled(c *call) {
+	h.metrics.cancelled.Inc(1)
+	h.opts.Timeline.Record(timeline.Event{
+		Kind: timeline.KindRequestCut, Request: c.id, Organisation: c.tenant.Organisation, Detail: "caller gone",
+	})
+	panic(http.ErrAbortHandler)
+}
+
 // cut ends a request whose key was withdrawn while it ran.
 func (h *handler) cut(c *call, req dispatch.Request, result dispatch.Result) {
 	h.opts.Timeline.Record(timeline.Event{
--- a/internal/entry/callers/callers_test.go
+++ b/internal/entry/callers/callers_test.go
@@ -61,6 +61,17 @@
 	running    *running.Index
 	ring       *timeline.Ring
 	handler    http.Handler
+	// laterSnapshot is in force from the second reading on, where it is set.
+	laterSnapshot *config.Snapshot
+	readings      int
+}
+
+func (f *fixture) config() *config.Snapshot {
+	f.readings++
+	if f.laterSnapshot != nil && f.readings > 1 {
+		return f.laterSnapshot
+	}
+	return testSnapshot()
 }
 
 func newFixture(fresh freshness) *fixture {
@@ -70,9 +81,8 @@
 		running:    running.NewIndex(),
 		ring:       timeline.NewRing("vm", hlc.New(nil), 64),
 	}
-	snapshot := testSnapshot()
 	f.handler = NewHandler(Options{
-		Config:       func() *config.Snapshot { return snapshot },
+		Config:       f.config,
 		Freshness:    fresh,
 		Limiter:      f.limiter,
 		Dispatcher:   f.dispatcher,
@@ -273,6 +283,29 @@
 	}
 }
 
+func TestKeyWithdrawnBeforeTheRequestIsTracked(t *testing.T) {
+	f := newFixture(true)
+	f.laterSnapshot = config.NewSnapshot(2, config.Plans{}, config.Allowances{}, nil)
+	w := f.do("POST", "/v1/completions", testKey, `{"model":"syllabus"}`)
+	assertRefusal(t, w, http.StatusUnauthorized, refusal.CodeUnknownKey, refusal.RanNo)
+	if len(f.dispatcher.requests) != 0 {
+		t.Error("the request was dispatched")
+	}
+}
+
+func TestWholeAnswerStaysWholeWhenTheKeyGoesAtItsEnd(t *testing.T) {
+	f := newFixture(true)
+	f.dispatcher.answer = func(_ context.Context, w http.ResponseWriter) dispatch.Result {
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+		f.running.Cut(running.ErrKeyWithdrawn, func(ident.KeyHash) bool { return false })
+		return dispatch.Result{Ran: refusal.RanYes}
+	}
+	w := f.do("POST", "/v1/completions", testKey, `{"model":"syllabus","stream":true}`)
+	if w.Body.String() != "data: [DONE]\n\n" {
+		t.Errorf("stream %q", w.Body)
+	}
+}
+
 func TestBrokenPlainAnswerIsCutNotCompleted(t *testing.T) {
 	f := newFixture(true)
 	f.dispatcher.answer = func(_ context.Context, w http.ResponseWriter) dispatch.Result {
