Entries share the configuration: hash tree, checked lists, push, gossip, freshness, members

Cause: the configuration was one document that each entry read whole, keys were trusted whatever their age, and members came from the VM list alone. Change: head and immutable chunks in the store; two watchers a failure domain push what changed along two trees; gossip repairs; an entry that is in touch neither with the store nor with a majority refuses and cuts what runs.

--- a/cmd/hyssop-entry/main.go
+++ b/cmd/hyssop-entry/main.go
@@ -57,6 +57,7 @@
 	process.Flag(app, "drain-timeout", "Longest time that running requests get at shutdown.").Default("5m").DurationVar(&s.DrainTimeout)
 	process.Flag(app, "store-timeout", "Longest time for one call to the key-value service.").Default("2s").DurationVar(&s.StoreTimeout)
 	process.Flag(app, "vm-list-interval", "Time between two readings of the VM list.").Default("2s").DurationVar(&s.VMListInterval)
+	process.Flag(app, "vm-list-lag", "Longest time until the VM list shows a change.").Default("30s").DurationVar(&s.VMListLag)
 	process.Flag(app, "timeline-events", "Events that the time line keeps.").Default("8192").IntVar(&s.TimelineEvents)
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -48,6 +48,7 @@
 	slowCaller       = 30 * time.Second
 	vmListInterval   = time.Second
 	vmListLag        = 2 * time.Second
+	listedLag        = 10 * time.Second // Longest, as the entries are told.
 	orderTimeout     = 10 * time.Second
 	maxBodyBytes     = 4 << 20
 	timelineEvents   = 4096
@@ -258,7 +259,7 @@
 			VM: id, FailureDomain: domain(i), Region: region, OperatorsToken: OperatorsToken,
 			Security: transport.Security{Secret: fleetSecret}, MaxBodyBytes: maxBodyBytes,
 			RequestTimeout: requestTimeout, BodyTimeout: slowCaller, WriteTimeout: slowCaller,
-			DrainTimeout: drainTimeout, StoreTimeout: storeTimeout, VMListInterval: vmListInterval,
+			DrainTimeout: drainTimeout, StoreTimeout: storeTimeout, VMListInterval: vmListInterval, VMListLag: listedLag,
 			TimelineEvents: timelineEvents,
 		},
 		Store:             d.storeClient(),
--- a/internal/entry/callers/callers.go
+++ b/internal/entry/callers/callers.go
@@ -126,8 +126,8 @@
 func (h *handler) run(c *call, req dispatch.Request) {
 	ctx, done := h.track(c)
 	defer done()
-	if h.withdrawnMeanwhile(c) {
-		h.refuse(c, unknownKey())
+	if refused := h.lostMeanwhile(c); refused != nil {
+		h.refuse(c, refused)
 		return
 	}
 	grant, err := h.reserve(ctx, c, req.Job.Cost)
@@ -152,15 +152,20 @@
 	return h.opts.Running.Add(c.r.Context(), c.key)
 }
 
-// withdrawnMeanwhile reports whether the key went between the call's
-// authentication and its entry in the index of running requests, where a
-// withdrawal finds it.
-func (h *handler) withdrawnMeanwhile(c *call) bool {
+// lostMeanwhile refuses a call whose key went, or whose entry lost touch,
+// between the call's authentication and its entry in the index of running
+// requests, where a cut finds it.
+func (h *handler) lostMeanwhile(c *call) *refusal.Refusal {
 	if c.key == "" {
-		return false
+		return nil
 	}
-	_, granted := h.opts.Config().Key(c.key)
-	return !granted
+	if !h.opts.Freshness.Fresh() {
+		return stale()
+	}
+	if _, granted := h.opts.Config().Key(c.key); !granted {
+		return unknownKey()
+	}
+	return nil
 }
 
 func (h *handler) reserve(ctx context.Context, c *call, cost int64) (admission.Grant, error) {
@@ -176,7 +181,9 @@
 	case whole:
 		h.answered(c)
 	case errors.Is(context.Cause(ctx), running.ErrKeyWithdrawn):
-		h.cut(c, req, result)
+		h.cut(c, req, result, keyWithdrawn)
+	case errors.Is(context.Cause(ctx), running.ErrStale):
+		h.cut(c, req, result, staleWhileRunning)
 	case c.r.Context().Err() != nil:
 		h.cancelled(c)
 	case result.Refusal != nil:
@@ -202,16 +209,22 @@
 	panic(http.ErrAbortHandler)
 }
 
-// cut ends a request whose key was withdrawn while it ran.
-func (h *handler) cut(c *call, req dispatch.Request, result dispatch.Result) {
+// cut ends a request that ran when its key was withdrawn or could not be
+// confirmed any more.
+func (h *handler) cut(c *call, req dispatch.Request, result dispatch.Result, why func(refusal.Ran) *refusal.Refusal) {
+	ran := refusal.RanYes
+	if result.Refusal != nil {
+		ran = result.Ran
+	}
+	r := why(ran)
 	h.opts.Timeline.Record(timeline.Event{
-		Kind: timeline.KindRequestCut, Request: c.id, Organisation: c.tenant.Organisation, Detail: "key withdrawn",
+		Kind: timeline.KindRequestCut, Request: c.id, Organisation: c.tenant.Organisation, Detail: string(r.Code),
 	})
 	if result.Refusal != nil {
-		h.refuse(c, keyWithdrawn(result.Ran))
+		h.refuse(c, r)
 		return
 	}
-	h.broken(c, req, keyWithdrawn(refusal.RanYes))
+	h.broken(c, req, r)
 }
 
 // broken ends an answer that has begun and cannot be completed: a stream gets
--- a/internal/entry/callers/refusals.go
+++ b/internal/entry/callers/refusals.go
@@ -63,6 +63,13 @@
 	}
 }
 
+func staleWhileRunning(ran refusal.Ran) *refusal.Refusal {
+	r := stale()
+	r.Message = "this entry lost touch while the request ran and cannot confirm its key"
+	r.Ran = ran
+	return r
+}
+
 func unknownModel(model string) *refusal.Refusal {
 	return &refusal.Refusal{
 		Status: http.StatusNotFound, Type: refusal.TypeInvalidRequest, Code: refusal.CodeUnknownModel,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,7 +48,7 @@
 	ring      *timeline.Ring
 	ready     *process.Ready
 	metrics   *process.Metrics
-	replica   *config.Replica
+	fleet     fleetParts
 	directory *directory.Directory
 	running   *running.Index
 	tree      *suture.Supervisor // What callers' requests rest on.
@@ -66,13 +66,11 @@
 		ring:      ring,
 		ready:     process.NewReady("no configuration yet"),
 		metrics:   process.NewMetrics(),
-		replica:   config.NewReplica(config.ReplicaOptions{Store: opts.Store, Log: opts.Log, Timeline: ring}),
 		directory: directory.New(directory.Options{List: opts.VMList, Interval: s.VMListInterval, Log: opts.Log}),
 		running:   running.NewIndex(),
 		tree:      process.NewSupervisor("entry", opts.Log, s.DrainTimeout),
 		front:     process.NewSupervisor("entry front", opts.Log, s.DrainTimeout),
 	}
-	e.replica.OnChange(e.configChanged)
 	if err := e.addServices(); err != nil {
 		return nil, err
 	}
@@ -85,12 +83,17 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	fleet, err := transport.NewServer(s.Security, e.clock, http.NotFoundHandler())
+	e.fleet = e.newFleet(client)
+	e.fleet.replica.OnChange(e.configChanged)
+	fleet, err := transport.NewServer(s.Security, e.clock, e.fleetHandler())
 	if err != nil {
 		return errors.Trace(err)
 	}
-	e.tree.Add(e.replica)
 	e.tree.Add(e.directory)
+	e.tree.Add(e.fleet.replica)
+	e.tree.Add(e.fleet.freshness)
+	e.tree.Add(e.fleet.gossip)
+	e.tree.Add(e.fleet.collector)
 	e.front.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
 	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(), time.Second))
 	e.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: e.opts.FleetListener, Grace: s.DrainTimeout})
@@ -107,8 +110,8 @@
 		Timeline:  e.ring,
 	})
 	return callers.NewHandler(callers.Options{
-		Config:       e.replica.Current,
-		Freshness:    alwaysFresh{},
+		Config:       e.fleet.replica.Current,
+		Freshness:    e.fleet.freshness,
 		Limiter:      admission.NewLocal(),
 		Dispatcher:   dispatcher,
 		Running:      e.running,
@@ -123,10 +126,13 @@
 
 func (e *Entry) operatorsHandler() http.Handler {
 	return operators.NewHandler(operators.Options{
-		Editor:   config.NewEditor(e.opts.Store),
-		Config:   e.replica.Current,
-		Timeline: e.ring,
-		Token:    e.opts.Settings.OperatorsToken,
+		VM:        e.opts.Settings.VM,
+		Editor:    e.newEditor(),
+		Survey:    e.fleet.survey,
+		Config:    e.fleet.replica.Current,
+		Providers: e.statusProviders(),
+		Timeline:  e.ring,
+		Token:     e.opts.Settings.OperatorsToken,
 	})
 }
 
@@ -150,17 +156,12 @@
 
 func (e *Entry) drain() {
 	e.ready.Not("draining")
+	e.fleet.members.SetLeaving()
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
 	time.Sleep(e.opts.Settings.DrainDelay)
 }
 
-// alwaysFresh trusts the configuration whatever its age.
-type alwaysFresh struct{}
-
-// Fresh implements callers.Freshness.
-func (alwaysFresh) Fresh() bool { return true }
-
 // Ready reports whether the entry can serve callers.
 func (e *Entry) Ready() bool {
-	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero()
+	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero() && e.fleet.freshness.Fresh()
 }
--- /dev/null
+++ b/internal/entry/fleet.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/freshness"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/gossip"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/rpc"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+)
+
+// fleetParts are the services that an entry shares with the others.
+type fleetParts struct {
+	members   *members.Service
+	freshness *freshness.Tracker
+	replica   *config.Replica
+	collector *config.Collector
+	notices   *gossip.Notices
+	gossip    *gossip.Service
+	survey    *config.Survey
+}
+
+func (e *Entry) newFleet(client *transport.Client) fleetParts {
+	s := e.opts.Settings
+	self := members.Member{
+		VM: s.VM, Address: e.opts.FleetListener.Addr().String(), FailureDomain: s.FailureDomain, Region: s.Region,
+		Incarnation: members.NewIncarnation(time.Now()),
+	}
+	f := fleetParts{}
+	f.members = members.NewService(members.ServiceOptions{
+		Self: self, Directory: e.directory, ListLag: s.VMListLag, Timeline: e.ring,
+	})
+	f.freshness = freshness.NewTracker(freshness.Options{
+		Self: s.VM, Listed: f.members.Listed, OnStale: e.cutAll, Log: e.opts.Log, Metrics: e.metrics.Scope,
+	})
+	peers := config.NewPeers(client)
+	f.replica = config.NewReplica(config.ReplicaOptions{
+		Store: e.opts.Store, Members: f.members, Peers: peers, Contact: f.freshness,
+		Log: e.opts.Log, Timeline: e.ring, Metrics: e.metrics.Scope,
+	})
+	f.replica.OnChange(func(s *config.Snapshot) {
+		f.freshness.Update(func(state *freshness.State) { state.Install(s.Revision()) })
+	})
+	f.collector = config.NewCollector(config.CollectorOptions{
+		Store: e.opts.Store, Members: f.members, Log: e.opts.Log, Metrics: e.metrics.Scope,
+	})
+	f.notices = gossip.NewNotices()
+	f.gossip = gossip.New(gossip.Options{
+		Members: f.members, Config: f.replica, Freshness: f.freshness, Notices: f.notices,
+		Peers: gossip.NewPeers(client), Metrics: e.metrics.Scope,
+	})
+	f.survey = config.NewSurvey(f.members, peers, f.replica)
+	return f
+}
+
+// fleetHandler serves the calls of other processes of the fleet.
+func (e *Entry) fleetHandler() http.Handler {
+	fleet := chi.NewRouter()
+	fleet.Mount(rpc.ConfigPathPrefix, config.NewServer(e.fleet.replica))
+	fleet.Mount(rpc.GossipPathPrefix, gossip.NewServer(e.fleet.gossip))
+	return fleet
+}
+
+func (e *Entry) newEditor() *config.Editor {
+	return config.NewFleetEditor(config.EditorOptions{
+		Store:   e.opts.Store,
+		InForce: e.fleet.replica.Current,
+		Highest: e.fleet.freshness.Highest,
+		Catalog: e.catalog,
+	})
+}
+
+// catalog returns what the VM list knows of base models and services.
+func (e *Entry) catalog() config.Catalog {
+	var c config.Catalog
+	for _, vm := range e.directory.View().VMs {
+		switch vm.Role {
+		case vmlist.RoleEngine:
+			c.Bases = append(c.Bases, string(vm.Base))
+		case vmlist.RolePlain:
+			c.Services = append(c.Services, string(vm.Service))
+		}
+	}
+	slices.Sort(c.Bases)
+	slices.Sort(c.Services)
+	c.Bases = slices.Compact(c.Bases)
+	c.Services = slices.Compact(c.Services)
+	return c
+}
+
+func (e *Entry) statusProviders() operators.Providers {
+	return operators.Providers{
+		Freshness: func() (bool, string) {
+			v := e.fleet.freshness.Verdict()
+			return v.Fresh, string(v.Reason)
+		},
+		Members:  e.memberStates,
+		Degraded: []func() []config.Degradation{e.fleet.replica.Degraded, e.degraded},
+	}
+}
+
+// degraded returns what does not work as it should beside the configuration.
+func (e *Entry) degraded() []config.Degradation {
+	var out []config.Degradation
+	if since, lost := e.directory.LostSince(); lost {
+		out = append(out, config.Degradation{What: "VM list lost", Since: since})
+	}
+	if since, stale := e.fleet.freshness.StaleSince(); stale {
+		out = append(out, config.Degradation{What: "keys cannot be trusted, callers are refused", Since: since})
+	}
+	return out
+}
+
+func (e *Entry) memberStates() []operators.MemberState {
+	var out []operators.MemberState
+	for _, m := range e.fleet.members.Entries() {
+		out = append(out, operators.MemberState{VM: m.VM, State: m.State.String(), Incarnation: uint64(m.Incarnation)})
+	}
+	return out
+}
+
+// cutAll ends the requests of all keys once the entry cannot tell any more
+// which keys are granted.
+func (e *Entry) cutAll() {
+	e.running.Cut(running.ErrStale, func(ident.KeyHash) bool { return false })
+}
--- a/internal/entry/operators/operators.go
+++ b/internal/entry/operators/operators.go
@@ -19,17 +19,19 @@
 
 const (
 	maxListBytes = 64 << 20
-	keyBytes     = 24
 	// HeaderRevision carries a list's revision.
 	HeaderRevision = "Hyssop-Revision"
 )
 
 // Options configures NewHandler.
 type Options struct {
-	Editor   *config.Editor
-	Config   func() *config.Snapshot
-	Timeline *timeline.Ring
-	Token    string // Credential that operators show as a bearer token.
+	VM        ident.VM
+	Editor    *config.Editor
+	Survey    *config.Survey
+	Config    func() *config.Snapshot
+	Providers Providers
+	Timeline  *timeline.Ring
+	Token     string // Credential that operators show as a bearer token.
 }
 
 type handler struct {
@@ -46,6 +48,7 @@
 	router.Put("/lists/{list}", h.apply)
 	router.Get("/keys/{organisation}", h.listKeys)
 	router.Post("/keys/{organisation}", h.grant)
+	router.Delete("/keys/{organisation}", h.withdraw)
 	router.Delete("/keys/{organisation}/{hash}", h.withdraw)
 	router.Get("/timeline", h.timeline)
 	router.Get("/status", h.status)
@@ -135,77 +138,50 @@
 	return list, string(data), true
 }
 
-func (h *handler) listKeys(w http.ResponseWriter, r *http.Request) {
-	org := ident.Organisation(chi.URLParam(r, "organisation"))
-	keys, err := h.opts.Editor.Keys(r.Context())
-	if err != nil {
-		writeFailure(w, err)
-		return
-	}
-	out := []config.Key{}
-	for _, k := range keys {
-		if k.Organisation == org {
-			out = append(out, k)
-		}
-	}
-	writeJSON(w, http.StatusOK, out)
-}
-
-type grantBody struct {
-	Key      string          `json:"key"` // Shown once; only its hash is kept.
-	Hash     ident.KeyHash   `json:"hash"`
-	Revision config.Revision `json:"revision"`
-}
-
-func (h *handler) grant(w http.ResponseWriter, r *http.Request) {
-	org := ident.Organisation(chi.URLParam(r, "organisation"))
-	key := ident.NewToken(keyBytes)
-	hash := ident.HashKey(key)
-	revision, err := h.opts.Editor.GrantKey(r.Context(), config.Key{Hash: hash, Organisation: org})
-	if err != nil {
-		writeFailure(w, err)
-		return
-	}
-	writeJSON(w, http.StatusCreated, grantBody{Key: key, Hash: hash, Revision: revision})
-}
-
-func (h *handler) withdraw(w http.ResponseWriter, r *http.Request) {
-	revision, err := h.opts.Editor.WithdrawKey(r.Context(), ident.KeyHash(chi.URLParam(r, "hash")))
-	if err != nil {
-		writeFailure(w, err)
-		return
-	}
-	writeJSON(w, http.StatusOK, revisionBody{revision})
-}
-
 func (h *handler) timeline(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, h.opts.Timeline.Events())
 }
 
-func (h *handler) status(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, Status{Revision: h.opts.Config().Revision()})
-}
-
-type errorBody struct {
-	Code    string `json:"code"`
-	Message string `json:"message"`
+// ErrorBody is the error in an answer that is no success.
+type ErrorBody struct {
+	Code     string           `json:"code"`
+	Message  string           `json:"message"`
+	Problems []config.Problem `json:"problems,omitempty"` // What is wrong with a list.
+	Read     config.Revision  `json:"read,omitempty"`     // In a conflict: what the edit was based on.
+	Now      config.Revision  `json:"now,omitempty"`      // In a conflict: what is in force.
 }
 
+// writeFailure answers with an error of the configuration.
 func writeFailure(w http.ResponseWriter, err error) {
+	body := ErrorBody{Code: "unavailable", Message: err.Error()}
+	status := http.StatusServiceUnavailable
+	var conflict *config.Conflict
+	var problems *config.Invalid
 	switch {
+	case errors.As(err, &conflict):
+		status, body.Code = http.StatusConflict, "conflict"
+		body.Read, body.Now = conflict.Read, conflict.Now
 	case errors.Is(err, config.ErrConflict):
-		writeError(w, http.StatusConflict, "conflict", err.Error())
+		status, body.Code = http.StatusConflict, "conflict"
+	case errors.As(err, &problems):
+		status, body.Code = http.StatusUnprocessableEntity, "invalid"
+		body.Problems = problems.Problems
 	case errors.Is(err, config.ErrInvalid):
-		writeError(w, http.StatusUnprocessableEntity, "invalid", err.Error())
-	default:
-		writeError(w, http.StatusServiceUnavailable, "unavailable", err.Error())
+		status, body.Code = http.StatusUnprocessableEntity, "invalid"
+	case errors.Is(err, config.ErrOutcomeUnknown):
+		body.Code = "outcome_unknown"
 	}
+	writeErrorBody(w, status, body)
 }
 
 func writeError(w http.ResponseWriter, status int, code, message string) {
+	writeErrorBody(w, status, ErrorBody{Code: code, Message: message})
+}
+
+func writeErrorBody(w http.ResponseWriter, status int, body ErrorBody) {
 	writeJSON(w, status, struct {
-		Error errorBody `json:"error"`
-	}{errorBody{code, message}})
+		Error ErrorBody `json:"error"`
+	}{body})
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/internal/entry/running/running.go
+++ b/internal/entry/running/running.go
@@ -11,9 +11,14 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
-// ErrKeyWithdrawn is the cause of a request's context that was cut because its
-// key was withdrawn.
-const ErrKeyWithdrawn = errors.ConstError("key withdrawn")
+// Causes of a request's context that was cut.
+const (
+	// ErrKeyWithdrawn says that the request's key was withdrawn.
+	ErrKeyWithdrawn = errors.ConstError("key withdrawn")
+	// ErrStale says that the entry can no longer tell whether the request's
+	// key is granted.
+	ErrStale = errors.ConstError("keys not confirmed")
+)
 
 // Index holds the running requests. It is safe for concurrent use.
 type Index struct {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -29,7 +29,8 @@
 	DrainTimeout     time.Duration // Longest time that running requests get at shutdown.
 	StoreTimeout     time.Duration
 	VMListInterval   time.Duration
-	TimelineEvents   int // Events that the time line keeps.
+	VMListLag        time.Duration // Longest time until the VM list shows a change.
+	TimelineEvents   int           // Events that the time line keeps.
 }
 
 const minOperatorsToken = 16
@@ -58,6 +59,7 @@
 	c.Positive("drain-timeout", s.DrainTimeout)
 	c.Positive("store-timeout", s.StoreTimeout)
 	c.Positive("vm-list-interval", s.VMListInterval)
+	c.Positive("vm-list-lag", s.VMListLag)
 	c.AtLeast("timeline-events", int64(s.TimelineEvents), 1)
 	return c.Err()
 }
--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -24,7 +24,7 @@
 type Directory struct {
 	opts Options
 	view atomic.Pointer[View]
-	lost bool
+	lost atomic.Pointer[time.Time] // Since when the platform does not answer; nil while it does.
 }
 
 // View is one reading of the VM list. It is immutable.
@@ -98,14 +98,26 @@
 	d.view.Store(&View{VMs: vms, Read: time.Now()})
 }
 
+// LostSince returns since when the platform does not answer; false while it
+// does.
+func (d *Directory) LostSince() (time.Time, bool) {
+	since := d.lost.Load()
+	if since == nil {
+		return time.Time{}, false
+	}
+	return *since, true
+}
+
 func (d *Directory) setLost(lost bool) {
-	if lost == d.lost {
+	if lost == (d.lost.Load() != nil) {
 		return
 	}
-	d.lost = lost
 	if lost {
+		now := time.Now()
+		d.lost.Store(&now)
 		d.opts.Log.Warn("VM list lost, keeping the last one")
 		return
 	}
+	d.lost.Store(nil)
 	d.opts.Log.Info("VM list back")
 }
--- a/internal/fleet/freshness/tracker.go
+++ b/internal/fleet/freshness/tracker.go
@@ -37,6 +37,7 @@
 	state   *State
 	verdict Verdict
 	judged  time.Time // When verdict was reached.
+	lost    loss
 }
 
 // NewTracker returns a Tracker that is not fresh.
@@ -107,44 +108,56 @@
 func (t *Tracker) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
-	watch := staleWatch{}
 	for {
 		select {
 		case <-ticker.C:
-			t.check(&watch)
+			t.check()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-// staleWatch follows one loss of freshness.
-type staleWatch struct {
-	wasFresh bool
-	since    time.Time // When freshness was lost; zero while fresh.
-	cut      bool
+// StaleSince returns since when keys cannot be trusted; false while they can.
+func (t *Tracker) StaleSince() (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lost.since, !t.lost.since.IsZero()
+}
+
+// loss follows one loss of freshness.
+type loss struct {
+	since time.Time // When freshness was lost; zero while fresh.
+	cut   bool      // Whether the running requests were cut.
 }
 
-func (t *Tracker) check(w *staleWatch) {
+func (t *Tracker) check() {
 	v := t.Verdict()
 	now := time.Now()
 	t.report(v, now)
-	if v.Fresh {
-		if !w.wasFresh {
-			t.opts.Log.WithField("reason", v.Reason).Info("keys can be trusted")
-		}
-		*w = staleWatch{wasFresh: true}
-		return
+	if t.follow(v, now) {
+		t.opts.OnStale()
 	}
-	if w.since.IsZero() {
-		w.since = now
+}
+
+// follow notes a change of the verdict and reports whether running requests
+// are to be cut now.
+func (t *Tracker) follow(v Verdict, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lost := !t.lost.since.IsZero()
+	switch {
+	case v.Fresh && lost:
+		t.lost = loss{}
+		t.opts.Log.WithField("reason", v.Reason).Info("keys can be trusted")
+	case !v.Fresh && !lost:
+		t.lost = loss{since: now}
 		t.opts.Log.WithField("reason", v.Reason).Warn("keys cannot be trusted, refusing")
+	case lost && !t.lost.cut && now.Sub(t.lost.since) >= CutGrace:
+		t.lost.cut = true
+		return true
 	}
-	w.wasFresh = false
-	if !w.cut && now.Sub(w.since) >= CutGrace {
-		w.cut = true
-		t.opts.OnStale()
-	}
+	return false
 }
 
 func (t *Tracker) report(v Verdict, now time.Time) {
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -27,6 +27,20 @@
 	StateGone                 // Off the VM list past its lag: certainly gone.
 )
 
+// String returns the state in words.
+func (s State) String() string {
+	switch s {
+	case StateLive:
+		return "live"
+	case StateSilent:
+		return "silent"
+	case StateLeaving:
+		return "leaving"
+	default:
+		return "gone"
+	}
+}
+
 // Member is one entry of the fleet.
 type Member struct {
 	VM            ident.VM
