--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -89,21 +89,20 @@
 }
 
 // ListKeys returns an organisation's keys.
-func (c *Client) ListKeys(ctx context.Context, org ident.Organisation) ([]config.Key, error) {
-	var out []config.Key
+func (c *Client) ListKeys(ctx context.Context, org ident.Organisation) ([]operators.KeyRow, error) {
+	var out []operators.KeyRow
 	err := c.json(ctx, http.MethodGet, "/keys/"+url.PathEscape(string(org)), &out)
 	return out, err
 }
 
-// Withdrawn is a key that was just withdrawn.
-type Withdrawn struct {
-	Revision config.Revision `json:"revision"`
-}
-
-// WithdrawKey withdraws a key by its hash.
-func (c *Client) WithdrawKey(ctx context.Context, org ident.Organisation, hash ident.KeyHash) (Withdrawn, error) {
-	var out Withdrawn
-	path := "/keys/" + url.PathEscape(string(org)) + "/" + url.PathEscape(string(hash))
+// WithdrawKey withdraws a key by its hash, the beginning of it, or nothing
+// where the organisation has one key, and returns where it is in force.
+func (c *Client) WithdrawKey(ctx context.Context, org ident.Organisation, hash string) (config.Withdrawal, error) {
+	var out config.Withdrawal
+	path := "/keys/" + url.PathEscape(string(org))
+	if hash != "" {
+		path += "/" + url.PathEscape(hash)
+	}
 	err := c.json(ctx, http.MethodDelete, path, &out)
 	return out, err
 }
@@ -156,9 +155,7 @@
 		return nil
 	}
 	var body struct {
-		Error struct {
-			Message string `json:"message"`
-		} `json:"error"`
+		Error operators.ErrorBody `json:"error"`
 	}
 	message := http.StatusText(status)
 	if err := json.Unmarshal(data, &body); err == nil && body.Error.Message != "" {
--- a/internal/control/keys.go
+++ b/internal/control/keys.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
@@ -35,16 +38,50 @@
 	}
 	return c.program.Print(granted, Table{
 		Heading: []string{"KEY", "HASH", "REVISION"},
-		Rows:    [][]string{{granted.Key, string(granted.Hash), formatRevision(granted.Revision)}},
+		Rows:    [][]string{{granted.Key, string(granted.Hash), granted.Revision.String()}},
 	})
 }
 
 func (c *keysCommand) withdraw(ctx context.Context) error {
-	withdrawn, err := c.program.Client().WithdrawKey(ctx, ident.Organisation(c.organisation), ident.KeyHash(c.hash))
+	w, err := c.program.Client().WithdrawKey(ctx, ident.Organisation(c.organisation), c.hash)
 	if err != nil {
 		return err
 	}
-	return c.program.Print(withdrawn, revisionTable(withdrawn.Revision))
+	if err := c.program.Print(w, withdrawalTable(w)); err != nil {
+		return err
+	}
+	if !w.InForce {
+		return ErrNotInForce
+	}
+	return nil
+}
+
+func withdrawalTable(w config.Withdrawal) Table {
+	missing := "-"
+	if len(w.Missing) > 0 {
+		missing = join(w.Missing)
+	}
+	return Table{
+		Heading: []string{"REVISION", "IN FORCE", "SAID SO", "HAVE NOT SAID SO"},
+		Rows: [][]string{{
+			w.Revision.String(), yesNo(w.InForce), fmt.Sprintf("%d of %d", w.Said, w.Entries), missing,
+		}},
+	}
+}
+
+func join(vms []ident.VM) string {
+	names := make([]string, 0, len(vms))
+	for _, vm := range vms {
+		names = append(names, string(vm))
+	}
+	return strings.Join(names, ", ")
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
 }
 
 func (c *keysCommand) list(ctx context.Context) error {
--- a/internal/control/lists.go
+++ b/internal/control/lists.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	revisionPrefix = "# revision: "
-	listFileMode   = 0o644
+	listFileMode = 0o644
 )
 
 // listCommand is one of the two lists' commands with its arguments.
@@ -52,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	out := append([]byte(fmt.Sprintf("%s%d\n", revisionPrefix, revision)), text...)
+	out := append([]byte(fmt.Sprintf("%s%d\n", config.RevisionComment, revision)), text...)
 	if c.file == "-" {
 		_, err = c.program.Out.Write(out)
 		return err
@@ -69,7 +68,7 @@
 		return err
 	}
 	if err := c.program.Client().CheckList(ctx, c.list, text); err != nil {
-		return err
+		return c.inFile(err)
 	}
 	return c.program.Print(checkResult{true}, Table{Heading: []string{"RESULT"}, Rows: [][]string{{"ok"}}})
 }
@@ -85,11 +84,19 @@
 	}
 	revision, err := c.program.Client().ApplyList(ctx, c.list, text, read)
 	if err != nil {
-		return err
+		return c.inFile(err)
 	}
 	return c.program.Print(revisionResult{revision}, revisionTable(revision))
 }
 
+// inFile says which file was not accepted.
+func (c *listCommand) inFile(err error) error {
+	if !errors.Is(err, ErrInvalid) {
+		return err
+	}
+	return errors.WithType(errors.Errorf("%s was not accepted, nothing changed:\n%v", c.file, err), ErrInvalid)
+}
+
 // readRevision returns the revision that the edit is based on: the flag, or
 // else the first line that get wrote.
 func (c *listCommand) readRevision(text []byte) (config.Revision, error) {
@@ -97,10 +104,10 @@
 		return config.Revision(c.revision), nil
 	}
 	line, _ := bufio.NewReader(bytes.NewReader(text)).ReadString('\n')
-	number, ok := strings.CutPrefix(strings.TrimSpace(line), strings.TrimSpace(revisionPrefix))
+	number, ok := strings.CutPrefix(strings.TrimSpace(line), strings.TrimSpace(config.RevisionComment))
 	if !ok {
 		return 0, errors.WithType(errors.Errorf(
-			"%s does not begin with %q; fetch the list with get, or give --revision", c.file, revisionPrefix+"N"), ErrInvalid)
+			"%s does not begin with %q; fetch the list with get, or give --revision", c.file, config.RevisionComment+"N"), ErrInvalid)
 	}
 	revision, err := strconv.ParseUint(strings.TrimSpace(number), 10, 64)
 	if err != nil {
@@ -118,9 +125,5 @@
 }
 
 func revisionTable(r config.Revision) Table {
-	return Table{Heading: []string{"REVISION"}, Rows: [][]string{{formatRevision(r)}}}
-}
-
-func formatRevision(r config.Revision) string {
-	return strconv.FormatUint(uint64(r), 10)
+	return Table{Heading: []string{"REVISION"}, Rows: [][]string{{r.String()}}}
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -2,10 +2,17 @@
 
 import (
 	"context"
+	"strconv"
+	"time"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 )
 
+const ageUnit = 100 * time.Millisecond
+
 func addStatus(p *Program) {
-	status := p.App.Command("status", "Shows revision, entries, holders and what is degraded.")
+	status := p.App.Command("status", "Shows revision and its age on each entry, holders and balances, and what is degraded.")
 	p.Handle(status, func(ctx context.Context) error { return showStatus(ctx, p) })
 }
 
@@ -14,5 +21,81 @@
 	if err != nil {
 		return err
 	}
-	return p.Print(status, revisionTable(status.Revision))
+	tables := []Table{summaryTable(status), entriesTable(status)}
+	if len(status.Holders) > 0 {
+		tables = append(tables, holdersTable(status.Holders))
+	}
+	if t := degradedTable(status, time.Now()); len(t.Rows) > 0 {
+		tables = append(tables, t)
+	}
+	return p.Print(status, tables...)
+}
+
+func summaryTable(s operators.Status) Table {
+	return Table{
+		Heading: []string{"ANSWERED BY", "REVISION", "TRUSTS KEYS", "REASON"},
+		Rows:    [][]string{{string(s.VM), s.Revision.String(), yesNo(s.Fresh), s.Reason}},
+	}
+}
+
+func entriesTable(s operators.Status) Table {
+	members := make(map[string]string, len(s.Members))
+	for _, m := range s.Members {
+		members[string(m.VM)] = m.State
+	}
+	t := Table{Heading: []string{"ENTRY", "FAILURE DOMAIN", "SEEN AS", "REVISION", "IN FORCE FOR", "CONFIRMED", "TRUSTS KEYS"}}
+	for _, e := range s.Entries {
+		row := []string{string(e.VM), string(e.FailureDomain), members[string(e.VM)], "-", "-", "-", "-"}
+		if e.Answered {
+			row = append(row[:3], e.Revision.String(), formatAge(e.InForceAge), confirmed(e), yesNo(e.Fresh))
+		}
+		t.Rows = append(t.Rows, row)
+	}
+	return t
+}
+
+func confirmed(e config.EntryState) string {
+	if e.ConfirmedAge < 0 {
+		return "never"
+	}
+	return formatAge(e.ConfirmedAge) + " ago"
+}
+
+func formatAge(age time.Duration) string {
+	if age >= time.Minute {
+		return age.Round(time.Second).String()
+	}
+	return age.Round(ageUnit).String()
+}
+
+func holdersTable(holders []operators.Holder) Table {
+	t := Table{Heading: []string{"ORGANISATION", "SHARE", "HOLDER", "BALANCE", "BURST"}}
+	for _, h := range holders {
+		t.Rows = append(t.Rows, []string{
+			string(h.Organisation), h.Share, string(h.VM),
+			strconv.FormatInt(h.Balance, 10), strconv.FormatInt(h.Burst, 10),
+		})
+	}
+	return t
+}
+
+// degradedTable shows what the entry that answers says of itself, and what the
+// others said.
+func degradedTable(s operators.Status, now time.Time) Table {
+	t := Table{Heading: []string{"DEGRADED", "AT", "FOR"}}
+	add := func(at string, list []config.Degradation) {
+		for _, d := range list {
+			t.Rows = append(t.Rows, []string{d.What, at, formatAge(now.Sub(d.Since))})
+		}
+	}
+	add(string(s.VM), s.Degraded)
+	for _, e := range s.Entries {
+		switch {
+		case !e.Answered:
+			t.Rows = append(t.Rows, []string{"entry does not answer", string(e.VM), "-"})
+		case e.VM != s.VM:
+			add(string(e.VM), e.Degraded)
+		}
+	}
+	return t
 }
--- a/internal/fleet/config/editor.go
+++ b/internal/fleet/config/editor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -24,6 +25,10 @@
 // can no longer take effect.
 const errRaced = errors.ConstError("another write came first")
 
+// RevisionComment begins the first line of a list's text as operators get it;
+// the revision follows. It is not kept with the text.
+const RevisionComment = "# revision: "
+
 // List names one of the operators' two lists.
 type List string
 
@@ -235,7 +240,7 @@
 // addText puts a list's new text under the next head and its pieces among the
 // chunks to write, but for those that the present text holds too.
 func (e *Editor) addText(ctx context.Context, next *head, b base, c change, written map[hashtree.Hash][]byte) error {
-	name, pieces := cutText(c.text)
+	name, pieces := cutText(withoutRevision(c.text))
 	*next.list(c.list) = listHead{Text: hexHash(name), Changed: next.Revision}
 	present, err := e.chunks.textNames(ctx, hashtree.Hash(b.head.list(c.list).Text))
 	if err != nil {
@@ -300,6 +305,16 @@
 	return 0, true, errRaced
 }
 
+// withoutRevision drops the first line of a text where it is the comment that
+// names the revision that was read.
+func withoutRevision(text string) string {
+	if !strings.HasPrefix(text, RevisionComment) {
+		return text
+	}
+	_, rest, _ := strings.Cut(text, "\n")
+	return rest
+}
+
 // render makes the text of a list from the configuration itself.
 func render(list List, t tables) (string, error) {
 	var v any
