--- a/internal/fleet/config/chunks.go
+++ b/internal/fleet/config/chunks.go
@@ -114,7 +114,7 @@
 
 func (c chunks) putOne(ctx context.Context, h hashtree.Hash, raw []byte) error {
 	var index store.Index
-	for range maxTouches {
+	for try := range maxTouches {
 		ok, err := c.store.CompareAndSwap(ctx, chunkKey(h), raw, index)
 		if err == nil && ok {
 			return nil
@@ -122,10 +122,16 @@
 		if err != nil && !errors.Is(err, store.ErrOutcomeUnknown) {
 			return errors.WithType(err, ErrUnavailable)
 		}
-		index, err = c.indexOf(ctx, h)
-		if err != nil {
-			return err
+		now, readErr := c.indexOf(ctx, h)
+		if readErr != nil {
+			return readErr
+		}
+		// The index was read after the head, and has changed since: the
+		// chunk was written, by this try or by another edit.
+		if try > 0 && now != 0 && now != index {
+			return nil
 		}
+		index = now
 	}
 	return errors.WithType(errors.Errorf("chunk %s could not be written", h), ErrUnavailable)
 }
