--- a/cmd/hyssop-load/main.go
+++ b/cmd/hyssop-load/main.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/drive"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
@@ -17,6 +18,7 @@
 
 // experiments are the sub-commands.
 var experiments = []experiment.Experiment{
+	config.Freshness,
 	drive.New(),
 }
 
--- a/internal/fleet/config/fanout.go
+++ b/internal/fleet/config/fanout.go
@@ -61,13 +61,31 @@
 			out[m.FailureDomain] = append(out[m.FailureDomain], m)
 		}
 	}
-	for _, domain := range out {
-		slices.SortFunc(domain, func(a, b members.Member) int {
-			if c := cmp.Compare(weight(a), weight(b)); c != 0 {
-				return c
-			}
-			return cmp.Compare(a.VM, b.VM)
-		})
+	for name, domain := range out {
+		out[name] = byWeight(domain)
+	}
+	return out
+}
+
+// byWeight orders entries by their weight.
+func byWeight(list []members.Member) []members.Member {
+	type weighed struct {
+		weight uint64
+		at     int
+	}
+	order := make([]weighed, len(list))
+	for i, m := range list {
+		order[i] = weighed{weight(m), i}
+	}
+	slices.SortFunc(order, func(a, b weighed) int {
+		if c := cmp.Compare(a.weight, b.weight); c != 0 {
+			return c
+		}
+		return cmp.Compare(list[a.at].VM, list[b.at].VM)
+	})
+	out := make([]members.Member, len(list))
+	for i, w := range order {
+		out[i] = list[w.at]
 	}
 	return out
 }
--- a/internal/fleet/gossip/exchange.go
+++ b/internal/fleet/gossip/exchange.go
@@ -120,7 +120,7 @@
 	if !s.unconfirmed(time.Now()) {
 		parents = config.RoleOf(s.opts.Members.Self(), entries).Parents
 	}
-	return choosePartner(s.turn, s.opts.Members.Self(), entries, parents, rand.IntN)
+	return ChoosePartner(s.turn, s.opts.Members.Self(), entries, parents, rand.IntN)
 }
 
 func (s *Service) unconfirmed(now time.Time) bool {
--- a/internal/fleet/gossip/partner.go
+++ b/internal/fleet/gossip/partner.go
@@ -9,10 +9,10 @@
 // exchanges of the other.
 const silentShare = 4
 
-// choosePartner returns whom to exchange with in the given turn: in two turns
+// ChoosePartner returns whom to exchange with in the given turn: in two turns
 // of three one of the parents, which have the store's confirmations first, and
 // otherwise any other entry.
-func choosePartner(
+func ChoosePartner(
 	turn int, self members.Member, entries, parents []members.Member, random func(n int) int,
 ) (members.Member, bool) {
 	if i := turn % 3; i < len(parents) {
--- a/internal/fleet/members/service.go
+++ b/internal/fleet/members/service.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	mu      sync.Mutex
 	tracker *Tracker
 	states  map[ident.VM]State
+	entries []Member   // What the tracker says; nil where it may say something else by now.
+	listed  []ident.VM // Names of entries that are not gone; never changed in place.
 }
 
 // NewService returns a Service.
@@ -50,21 +53,32 @@
 func (s *Service) Entries() []Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.read()
-	entries := s.tracker.Entries()
-	s.note(entries)
-	return entries
+	s.refresh()
+	return slices.Clone(s.entries)
 }
 
-// Listed returns the names of the entries that are not gone, in order.
+// Listed returns the names of the entries that are not gone, in order. The
+// caller must not change the slice.
 func (s *Service) Listed() []ident.VM {
-	var out []ident.VM
-	for _, m := range s.Entries() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh()
+	return s.listed
+}
+
+func (s *Service) refresh() {
+	s.read()
+	if s.entries != nil {
+		return
+	}
+	s.entries = s.tracker.Entries()
+	s.listed = make([]ident.VM, 0, len(s.entries))
+	for _, m := range s.entries {
 		if m.State != StateGone {
-			out = append(out, m.VM)
+			s.listed = append(s.listed, m.VM)
 		}
 	}
-	return out
+	s.note(s.entries)
 }
 
 // Answered records that a member answered a question sent at the given time.
@@ -72,7 +86,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.read()
-	s.tracker.Answered(at, vm, incarnation, leaving)
+	if s.tracker.Answered(at, vm, incarnation, leaving) {
+		s.entries = nil
+	}
 }
 
 // Failed records that a member did not answer a question sent at the given
@@ -81,6 +97,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tracker.Failed(at, vm)
+	s.entries = nil
 }
 
 // SetLeaving tells the others that this process is leaving.
@@ -88,13 +105,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tracker.SetLeaving()
+	s.entries = nil
 }
 
+// read takes the last reading of the VM list, if it is new.
 func (s *Service) read() {
 	view := s.opts.Directory.View()
-	if !view.Read.IsZero() {
-		s.tracker.Read(view.Read, view.Entries())
+	if view.Read.IsZero() || !view.Read.After(s.tracker.reading) {
+		return
 	}
+	s.tracker.Read(view.Read, view.Entries())
+	s.entries = nil
 }
 
 // note records the members that have come and those that are gone.
--- a/internal/fleet/members/tracker.go
+++ b/internal/fleet/members/tracker.go
@@ -60,8 +60,19 @@
 		r.vm, r.listed, r.offSince = vm, true, time.Time{}
 	}
 	for id, r := range t.records {
-		if !present[id] {
-			t.unlist(id, r, at)
+		if !present[id] && r.listed {
+			r.listed, r.offSince = false, at
+		}
+	}
+	t.forget()
+}
+
+// forget drops the members that have been gone for long.
+func (t *Tracker) forget() {
+	regions := t.listedRegions()
+	for id, r := range t.records {
+		if t.state(r, regions) == StateGone && t.goneFor(r) > forgetAfter {
+			delete(t.records, id)
 		}
 	}
 }
@@ -75,15 +86,6 @@
 	return r
 }
 
-func (t *Tracker) unlist(id ident.VM, r *record, at time.Time) {
-	if r.listed {
-		r.listed, r.offSince = false, at
-	}
-	if t.goneFor(r) > forgetAfter {
-		delete(t.records, id)
-	}
-}
-
 // goneFor returns how long the list has been without a member that does not
 // answer, beyond the list's lag; negative while it may still be there.
 func (t *Tracker) goneFor(r *record) time.Duration {
@@ -94,12 +96,14 @@
 	return t.reading.Sub(since) - t.lag
 }
 
-// Answered records that a member answered a question sent at the given time.
-func (t *Tracker) Answered(at time.Time, vm ident.VM, incarnation Incarnation, leaving bool) {
+// Answered records that a member answered a question sent at the given time,
+// and reports whether that may change what Entries returns.
+func (t *Tracker) Answered(at time.Time, vm ident.VM, incarnation Incarnation, leaving bool) bool {
 	r, ok := t.records[vm]
 	if !ok || incarnation < r.incarnation {
-		return
+		return false
 	}
+	steady := incarnation == r.incarnation && leaving == r.leaving && r.listed && !r.failed.After(r.answered)
 	if incarnation > r.incarnation {
 		r.leaving = false
 	}
@@ -108,6 +112,7 @@
 	if at.After(r.answered) {
 		r.answered = at
 	}
+	return !steady
 }
 
 // Failed records that a member did not answer a question sent at the given
