--- /dev/null
+++ b/internal/control/session_test.go
@@ -0,0 +1,125 @@
+package control
+
+import (
+	"bytes"
+	"io"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
+)
+
+const sessionToken = "session-operators-token"
+
+// single is the View of a fleet of one entry.
+type single struct{}
+
+func (single) Self() members.Member      { return members.Member{VM: "entry-1"} }
+func (single) Entries() []members.Member { return []members.Member{{VM: "entry-1"}} }
+
+// inTouch is a config.Contact that is always in touch.
+type inTouch struct{}
+
+func (inTouch) Confirmed(time.Time, config.Revision) {}
+func (inTouch) ConfirmedAt() time.Time               { return time.Now() }
+func (inTouch) Majority() bool                       { return true }
+func (inTouch) Fresh() bool                          { return true }
+
+// session is an operators' address with a folder for files.
+type session struct {
+	t       *testing.T
+	address string
+	dir     string
+	memory  *store.Memory
+}
+
+func newSession(t *testing.T) *session {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	memory := store.NewMemory()
+	replica := config.NewReplica(config.ReplicaOptions{
+		Store: memory, Members: single{}, Contact: inTouch{}, Log: logrus.NewEntry(log), Metrics: tally.NoopScope,
+	})
+	go func() { _ = replica.Serve(t.Context()) }()
+	server := httptest.NewServer(operators.NewHandler(operators.Options{
+		VM: "entry-1", Editor: config.NewEditor(memory), Survey: config.NewSurvey(single{}, nil, replica),
+		Config: replica.Current, Token: sessionToken,
+	}))
+	t.Cleanup(server.Close)
+	return &session{t: t, address: server.Listener.Addr().String(), dir: t.TempDir(), memory: memory}
+}
+
+// run runs a command and checks its exit code and that its output holds want.
+func (s *session) run(code int, want string, args ...string) string {
+	s.t.Helper()
+	var out, errOut bytes.Buffer
+	args = append([]string{"--operators", s.address, "--operators-token", sessionToken}, args...)
+	got := NewProgram(&out).Run(s.t.Context(), args, &errOut)
+	all := out.String() + errOut.String()
+	if got != code || !strings.Contains(all, want) {
+		s.t.Errorf("%v: exit code %d, want %d with %q:\n%s", args[4:], got, code, want, all)
+	}
+	return out.String()
+}
+
+func (s *session) file(name, text string) string {
+	s.t.Helper()
+	path := filepath.Join(s.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+func TestEditingSession(t *testing.T) {
+	s := newSession(t)
+	allowances := s.file("allowances.yaml", "# revision: 0\nallowances:\n- {plan: gold, tokens_per_second: 10, burst: 300}\n")
+	s.run(ExitOK, "1", "allowances", "apply", allowances)
+	s.run(ExitInvalid, `line 2, column 27: the allowances list has no plan "glod"; did you mean "gold"?`,
+		"plans", "check", s.file("bad.yaml", "plans:\n- {organisation: a, plan: glod}\n"))
+	s.run(ExitInvalid, "--revision", "plans", "apply", s.file("none.yaml", "plans: []\n"))
+	good := s.file("plans.yaml", "# revision: 1\nplans: # all\n- {organisation: lima, plan: gold}\n")
+	s.run(ExitOK, "2", "plans", "apply", good)
+	s.run(ExitConflict, "read at revision 1 and changed at revision 2", "plans", "apply", good)
+	got := s.run(ExitOK, "", "plans", "get")
+	if got != "# revision: 2\nplans: # all\n- {organisation: lima, plan: gold}\n" {
+		t.Errorf("list:\n%s", got)
+	}
+	s.run(ExitUsage, "try --help", "plans", "aply", good)
+	s.memory.SetFault(store.FaultDown)
+	s.run(ExitFailure, "does not answer", "plans", "get")
+}
+
+func TestKeySession(t *testing.T) {
+	s := newSession(t)
+	s.run(ExitOK, "", "allowances", "apply", "--revision", "0", s.file("a", "# revision: 0\nallowances:\n- {plan: gold, tokens_per_second: 10, burst: 300}\n"))
+	s.run(ExitOK, "", "plans", "apply", s.file("p", "# revision: 1\nplans:\n- {organisation: lima, plan: gold}\n"))
+	s.run(ExitInvalid, `did you mean "lima"?`, "keys", "grant", "lma")
+	granted := s.run(ExitOK, `"key"`, "keys", "grant", "lima", "-o", "json")
+	s.run(ExitOK, `"organisation": "lima"`, "keys", "list", "lima", "-o", "json")
+	key := strings.Split(granted, `"`)[3]
+	for _, e := range s.memory.Export() {
+		if bytes.Contains(e.Value, []byte(key)) {
+			t.Errorf("%s holds the key", e.Key)
+		}
+	}
+	s.run(ExitInvalid, "begins with", "keys", "withdraw", "lima", "zzzz")
+	s.run(ExitOK, "1 of 1", "keys", "withdraw", "lima")
+	s.run(ExitInvalid, "no key", "keys", "withdraw", "lima")
+	s.run(ExitOK, "entry-1", "status")
+	var errOut bytes.Buffer
+	args := []string{"--operators", s.address, "--operators-token", "wrong", "status"}
+	if code := NewProgram(io.Discard).Run(t.Context(), args, &errOut); code != ExitDenied {
+		t.Errorf("wrong token: exit code %d: %s", code, errOut.String())
+	}
+}
--- a/internal/fleet/config/head.go
+++ b/internal/fleet/config/head.go
@@ -101,7 +101,7 @@
 		return head{}, 0, nil
 	}
 	if err != nil {
-		return head{}, 0, errors.WithType(err, ErrUnavailable)
+		return head{}, 0, errors.WithType(errors.Annotate(err, "the configuration store does not answer"), ErrUnavailable)
 	}
 	h, err := decodeHead(entry.Value)
 	return h, entry.Index, err
