Tests of configuration and gossip run clean under the race detector; mutants that survived are caught

Cause: fakes shared fields without a lock; two mutants (chunk in use again not rewritten, lower revision installed) passed. Change: atomics in the fakes; a test for each of the two.

--- a/internal/fleet/config/replica_test.go
+++ b/internal/fleet/config/replica_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config/hashtree"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/rpc"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
@@ -23,7 +26,7 @@
 type fleet struct {
 	entries  []members.Member
 	replicas map[ident.VM]*Replica
-	cut      map[ident.VM]bool // Entries that no call reaches.
+	cut      sync.Map // Names of the entries that no call reaches.
 }
 
 // view is the members as one entry of a fleet sees them.
@@ -36,16 +39,27 @@
 func (v view) Entries() []members.Member { return v.fleet.entries }
 
 // contact is a Contact of an entry that is in touch.
-type contact struct{ at time.Time }
+type contact struct{ at atomic.Pointer[time.Time] }
 
-func (c *contact) Confirmed(at time.Time, _ Revision) { c.at = at }
-func (c *contact) ConfirmedAt() time.Time             { return c.at }
+func newContact(at time.Time) *contact {
+	c := &contact{}
+	c.at.Store(&at)
+	return c
+}
+
+func (c *contact) Confirmed(at time.Time, _ Revision) { c.at.Store(&at) }
+func (c *contact) ConfirmedAt() time.Time             { return *c.at.Load() }
 func (c *contact) Majority() bool                     { return true }
 func (c *contact) Fresh() bool                        { return true }
 
+func (f *fleet) isCut(vm ident.VM) bool {
+	_, cut := f.cut.Load(vm)
+	return cut
+}
+
 // Push implements Peers.
 func (f *fleet) Push(ctx context.Context, to members.Member, req *rpc.PushRequest) (*rpc.PushResponse, error) {
-	if f.cut[to.VM] || f.cut[ident.VM(req.Vm)] {
+	if f.isCut(to.VM) || f.isCut(ident.VM(req.Vm)) {
 		return nil, errors.New("cut off")
 	}
 	return f.replicas[to.VM].Push(ctx, req)
@@ -53,7 +67,7 @@
 
 // Fetch implements Peers.
 func (f *fleet) Fetch(ctx context.Context, from members.Member, req *rpc.FetchRequest) (*rpc.FetchResponse, error) {
-	if f.cut[from.VM] {
+	if f.isCut(from.VM) {
 		return nil, errors.New("cut off")
 	}
 	return f.replicas[from.VM].Fetch(ctx, req)
@@ -61,14 +75,14 @@
 
 // State implements Peers.
 func (f *fleet) State(ctx context.Context, of members.Member, req *rpc.StateRequest) (*rpc.StateResponse, error) {
-	if f.cut[of.VM] {
+	if f.isCut(of.VM) {
 		return nil, errors.New("cut off")
 	}
 	return f.replicas[of.VM].State(ctx, req)
 }
 
 func newFleet(n, domains int, s store.Store) *fleet {
-	f := &fleet{replicas: make(map[ident.VM]*Replica), cut: make(map[ident.VM]bool)}
+	f := &fleet{replicas: make(map[ident.VM]*Replica)}
 	for i := range n {
 		f.entries = append(f.entries, members.Member{
 			VM: ident.VM(fmt.Sprintf("entry-%03d", i)), FailureDomain: ident.FailureDomain(fmt.Sprintf("domain-%d", i%domains)),
@@ -78,7 +92,7 @@
 	log.SetOutput(io.Discard)
 	for _, m := range f.entries {
 		f.replicas[m.VM] = NewReplica(ReplicaOptions{
-			Store: s, Members: view{f, m}, Peers: f, Contact: &contact{at: time.Now().Add(time.Hour)},
+			Store: s, Members: view{f, m}, Peers: f, Contact: newContact(time.Now().Add(time.Hour)),
 			Log: log.WithField("vm", m.VM), Metrics: tally.NoopScope,
 		})
 	}
@@ -159,11 +173,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		memory := seeded(t)
 		f := newFleet(3, 1, memory)
-		f.cut["entry-002"] = true
+		f.cut.Store(ident.VM("entry-002"), true)
 		f.run(t)
 		time.Sleep(time.Second)
 		memory.SetFault(store.FaultDown)
-		f.cut["entry-002"] = false
+		f.cut.Delete(ident.VM("entry-002"))
 		late := f.replicas["entry-002"]
 		late.current.Store(NewSnapshot(0, Plans{}, Allowances{}, nil))
 		late.index = chunkIndex{}
@@ -184,7 +198,8 @@
 		time.Sleep(time.Second)
 		key := ident.HashKey("k1")
 		survey := NewSurvey(view{f, f.entries[0]}, f, f.replicas["entry-000"])
-		f.cut["entry-003"], f.cut["entry-004"] = true, true
+		f.cut.Store(ident.VM("entry-003"), true)
+		f.cut.Store(ident.VM("entry-004"), true)
 		revision, err := NewEditor(memory).WithdrawKey(t.Context(), key)
 		if err != nil {
 			t.Fatal(err)
@@ -193,13 +208,51 @@
 		if !w.InForce || w.Said != 3 || !slices.Equal(w.Missing, []ident.VM{"entry-003", "entry-004"}) {
 			t.Errorf("two of five cut off: %+v", w)
 		}
-		f.cut["entry-002"] = true
+		f.cut.Store(ident.VM("entry-002"), true)
 		if w = survey.WaitWithdrawn(t.Context(), key, revision, 5*time.Second); w.InForce {
 			t.Errorf("three of five cut off: %+v", w)
 		}
 	})
 }
 
+func TestInstallRefusesALowerRevision(t *testing.T) {
+	f := newFleet(1, 1, store.NewMemory())
+	r := f.replicas["entry-000"]
+	high, low := tables{plans: plansTree(Plans{})}, tables{keys: keysTree([]Key{{"x", "lima"}})}
+	if ok, err := r.install(5, high.top()); !ok || err != nil {
+		t.Fatal(ok, err)
+	}
+	for _, revision := range []Revision{4, 5} {
+		if ok, err := r.install(revision, low.top()); ok || err != nil {
+			t.Errorf("revision %d over 5: %t, %v", revision, ok, err)
+		}
+	}
+	if degraded := r.Degraded(); len(degraded) != 1 || degraded[0].What != degradedDiverged {
+		t.Errorf("degraded: %v", degraded)
+	}
+}
+
+// TestChunkInUseAgainIsNotDeleted writes a chunk that a collection has listed
+// as unused: its index changes, so that the deletion fails.
+func TestChunkInUseAgainIsNotDeleted(t *testing.T) {
+	memory := store.NewMemory()
+	h := hashtree.HashOf([]byte("chunk"))
+	put := func() store.Index {
+		if err := (chunks{memory}).put(t.Context(), map[hashtree.Hash][]byte{h: []byte("chunk")}); err != nil {
+			t.Fatal(err)
+		}
+		e, err := memory.Get(t.Context(), chunkKey(h))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return e.Index
+	}
+	listed := put()
+	if put() == listed {
+		t.Error("the chunk has the index that was listed")
+	}
+}
+
 // TestCollectionKeepsWhatEditsNeed deletes what is unused, and makes an edit
 // fail, not succeed with missing chunks, that began before the collection.
 func TestCollectionKeepsWhatEditsNeed(t *testing.T) {
--- a/internal/fleet/gossip/bytes_test.go
+++ b/internal/fleet/gossip/bytes_test.go
@@ -53,7 +53,7 @@
 	for list.View().Read.IsZero() {
 		time.Sleep(time.Millisecond)
 	}
-	f := &fleet{nodes: make(map[ident.VM]*node), head: 1}
+	f := &fleet{nodes: make(map[ident.VM]*node)}
 	f.add(rows[0], list, log)
 	f.order[0].install(1)
 	f.order[0].tracker.Confirmed(time.Now(), 1)
--- a/internal/fleet/gossip/exchange_test.go
+++ b/internal/fleet/gossip/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,64 +25,65 @@
 // node is one entry of a fleet whose calls go through memory.
 type node struct {
 	fleet   *fleet
-	side    int  // Entries reach those of their own side.
-	store   bool // Whether the store answers it.
-	current *config.Snapshot
+	side    atomic.Int32 // Entries reach those of their own side.
+	store   atomic.Bool  // Whether the store answers it.
+	current atomic.Pointer[config.Snapshot]
 	members *members.Service
 	tracker *freshness.Tracker
 	notices *Notices
 	service *Service
-	cut     int // Times that running requests were cut.
+	cut     atomic.Int32 // Times that running requests were cut.
 }
 
 type fleet struct {
 	nodes map[ident.VM]*node
 	order []*node
-	head  config.Revision // What the store holds.
+	head  atomic.Uint64 // Revision that the store holds.
 }
 
 // Exchange implements Peers.
 func (n *node) Exchange(ctx context.Context, with members.Member, req *rpc.ExchangeRequest) (*rpc.ExchangeResponse, error) {
 	time.Sleep(2 * time.Millisecond)
 	other := n.fleet.nodes[with.VM]
-	if other.side != n.side {
+	if other.side.Load() != n.side.Load() {
 		return nil, errors.New("cut off")
 	}
 	return other.service.Exchange(ctx, req)
 }
 
 // Current implements Config.
-func (n *node) Current() *config.Snapshot { return n.current }
+func (n *node) Current() *config.Snapshot { return n.current.Load() }
 
 // Pull implements Config.
 func (n *node) Pull(_ context.Context, from members.Member) error {
-	if other := n.fleet.nodes[from.VM]; other.side == n.side {
-		n.install(other.current.Revision())
+	if other := n.fleet.nodes[from.VM]; other.side.Load() == n.side.Load() {
+		n.install(other.Current().Revision())
 	}
 	return nil
 }
 
 func (n *node) install(r config.Revision) {
-	if r <= n.current.Revision() {
+	if r <= n.Current().Revision() {
 		return
 	}
-	n.current = config.NewSnapshot(r, config.Plans{}, config.Allowances{}, nil)
+	n.current.Store(config.NewSnapshot(r, config.Plans{}, config.Allowances{}, nil))
 	n.tracker.Update(func(s *freshness.State) { s.Install(r) })
 }
 
 // followStore stands for the replica of an entry that watches the store.
 func (n *node) followStore(ctx context.Context) {
 	for ctx.Err() == nil {
-		if n.store {
-			n.tracker.Confirmed(time.Now(), n.fleet.head)
-			n.install(n.fleet.head)
+		if n.store.Load() {
+			n.tracker.Confirmed(time.Now(), n.fleet.revision())
+			n.install(n.fleet.revision())
 		}
 		time.Sleep(500 * time.Millisecond)
 	}
 }
 
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{nodes: make(map[ident.VM]*node), head: 1}
+	f := &fleet{nodes: make(map[ident.VM]*node)}
+	f.head.Store(1)
 	ctx, stop := context.WithCancel(t.Context())
 	t.Cleanup(func() {
 		stop()
@@ -109,11 +111,12 @@
 
 func (f *fleet) add(row vmlist.VM, list *directory.Directory, log *logrus.Entry) {
 	self := members.Member{VM: row.ID, FailureDomain: row.FailureDomain, Incarnation: 1}
-	n := &node{fleet: f, store: true, notices: NewNotices()}
-	n.current = config.NewSnapshot(0, config.Plans{}, config.Allowances{}, nil)
+	n := &node{fleet: f, notices: NewNotices()}
+	n.store.Store(true)
+	n.current.Store(config.NewSnapshot(0, config.Plans{}, config.Allowances{}, nil))
 	n.members = members.NewService(members.ServiceOptions{Self: self, Directory: list, ListLag: time.Minute})
 	n.tracker = freshness.NewTracker(freshness.Options{
-		Self: row.ID, Listed: n.members.Listed, OnStale: func() { n.cut++ }, Log: log, Metrics: tally.NoopScope,
+		Self: row.ID, Listed: n.members.Listed, OnStale: func() { n.cut.Add(1) }, Log: log, Metrics: tally.NoopScope,
 	})
 	n.service = New(Options{
 		Members: n.members, Config: n, Freshness: n.tracker, Notices: n.notices, Peers: n, Metrics: tally.NoopScope,
@@ -122,6 +125,10 @@
 	f.order = append(f.order, n)
 }
 
+func (f *fleet) revision() config.Revision {
+	return config.Revision(f.head.Load())
+}
+
 // fresh returns the number of entries that trust their keys.
 func (f *fleet) fresh(of []*node) int {
 	count := 0
@@ -137,20 +144,20 @@
 // the last of the given entries went on trusting keys of before, and whether a
 // majority of all held it.
 func (f *fleet) withdraw(of []*node) (time.Duration, bool) {
-	f.head++
+	f.head.Add(1)
 	begun := time.Now()
 	last := begun
 	for time.Since(begun) < 10*time.Second {
 		time.Sleep(50 * time.Millisecond)
 		for _, n := range of {
-			if n.current.Revision() < f.head && n.tracker.Fresh() {
+			if n.Current().Revision() < f.revision() && n.tracker.Fresh() {
 				last = time.Now()
 			}
 		}
 	}
 	holding := 0
 	for _, n := range f.order {
-		if n.current.Revision() == f.head {
+		if n.Current().Revision() == f.revision() {
 			holding++
 		}
 	}
@@ -167,15 +174,17 @@
 			t.Fatalf("%d of 4 trust their keys in normal running", n)
 		}
 		alone := f.order[3]
-		alone.side, alone.store = 1, false
+		alone.side.Store(1)
+		alone.store.Store(false)
 		lasted, inForce := f.withdraw(f.order)
 		if lasted > promise-freshness.CutGrace || !inForce {
 			t.Errorf("a key lasted for %s, in force: %t", lasted, inForce)
 		}
-		if alone.tracker.Fresh() || alone.cut != 1 || f.fresh(f.order[:3]) != 3 {
-			t.Errorf("alone: fresh %t, cut %d; others: %d of 3", alone.tracker.Fresh(), alone.cut, f.fresh(f.order[:3]))
+		if alone.tracker.Fresh() || alone.cut.Load() != 1 || f.fresh(f.order[:3]) != 3 {
+			t.Errorf("alone: fresh %t, cut %d; others: %d of 3", alone.tracker.Fresh(), alone.cut.Load(), f.fresh(f.order[:3]))
 		}
-		alone.side, alone.store = 0, true
+		alone.side.Store(0)
+		alone.store.Store(true)
 		time.Sleep(promise)
 		if n := f.fresh(f.order); n != 4 {
 			t.Errorf("%d of 4 trust their keys after the cut has ended", n)
@@ -188,7 +197,7 @@
 		f := newFleet(t, 4)
 		time.Sleep(promise)
 		for _, n := range f.order {
-			n.store = false
+			n.store.Store(false)
 		}
 		for range 150 {
 			time.Sleep(time.Second)
@@ -196,7 +205,8 @@
 				t.Fatalf("%d of 4 trust their keys while the store is down for all", n)
 			}
 		}
-		f.order[0].side, f.order[1].side = 1, 1
+		f.order[0].side.Store(1)
+		f.order[1].side.Store(1)
 		time.Sleep(promise)
 		if n := f.fresh(f.order); n != 0 {
 			t.Errorf("%d of 4 trust their keys, though no side has a majority", n)
@@ -209,13 +219,13 @@
 		f := newFleet(t, 4)
 		time.Sleep(promise)
 		for _, n := range f.order[2:] {
-			n.store = false
+			n.store.Store(false)
 		}
 		if lasted, inForce := f.withdraw(f.order); lasted > promise || !inForce || f.fresh(f.order) != 4 {
 			t.Errorf("half see the store, all see each other: key lasted %s, in force %t, %d fresh", lasted, inForce, f.fresh(f.order))
 		}
 		for _, n := range f.order[2:] {
-			n.side = 1
+			n.side.Store(1)
 		}
 		lasted, inForce := f.withdraw(f.order)
 		if lasted > promise-freshness.CutGrace || inForce {
@@ -234,7 +244,8 @@
 		f := newFleet(t, 5)
 		time.Sleep(promise)
 		for _, n := range f.order[1:] {
-			n.store, n.side = false, 1
+			n.store.Store(false)
+			n.side.Store(1)
 		}
 		_, inForce := f.withdraw(f.order)
 		if inForce || f.fresh(f.order) != 5 {
@@ -250,7 +261,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 330)
 		for i, n := range f.order {
-			n.store = i < 8
+			n.store.Store(i < 8)
 		}
 		time.Sleep(promise)
 		for range 3 {
@@ -260,7 +271,7 @@
 			}
 		}
 		for _, n := range f.order {
-			n.store = false
+			n.store.Store(false)
 		}
 		for range 7 {
 			time.Sleep(time.Second)
