--- a/internal/fleet/gossip/exchange_test.go
+++ b/internal/fleet/gossip/exchange_test.go
@@ -321,3 +321,24 @@
 		t.Errorf("%d notices in one message", len(shared))
 	}
 }
+
+// TestLateAnswerCountsFromItsQuestion hands over an answer that was read long
+// after its question, as a process does that was paused meanwhile.
+func TestLateAnswerCountsFromItsQuestion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		n := f.order[0]
+		for _, node := range f.order {
+			node.store.Store(false)
+		}
+		n.install(1)
+		asked := time.Now()
+		time.Sleep(3 * time.Second)
+		n.service.take(asked, members.Member{VM: "entry-001"}, &rpc.ExchangeResponse{
+			Sender: &rpc.Sender{Vm: "entry-001", Revision: 1}, ConfirmedRevision: 1, ConfirmedAgeMs: 500, KnownAgeMs: -1,
+		})
+		if at := n.tracker.ConfirmedAt(); !at.Equal(asked.Add(-500 * time.Millisecond)) {
+			t.Errorf("confirmed %s after the question", at.Sub(asked))
+		}
+	})
+}
