Placement, adapter slots and fair queueing wired end to end

Cause: the endpoint was chosen by rendezvous hashing alone and the agent evicted the longest idle build under one lock, first come first served. Change: pure packages placement, slots and fairqueue, with the services entry/endpoints and agent/schedule around them. Orders to the engine run outside the lock.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -60,8 +60,10 @@
 		Permits:  schedule.UnlimitedLoads{},
 		Slots:    s.Slots,
 		Capacity: s.Capacity,
+		Grace:    s.DrainTimeout,
 		Log:      opts.Log,
 		Timeline: a.ring,
+		Metrics:  a.metrics.Scope,
 	})
 	a.intake = intake.NewHandler(intake.Options{
 		Endpoint:     endpoint,
@@ -79,6 +81,7 @@
 	admin := process.AdminHandler(a.ready, a.metrics)
 	a.tree = process.NewSupervisor("agent", opts.Log, s.DrainTimeout)
 	a.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: opts.FleetListener, Grace: s.DrainTimeout})
+	a.tree.Add(scheduler)
 	a.tree.Add(process.NewHTTPServer("admin", opts.AdminListener, admin, time.Second))
 	return a, nil
 }
--- /dev/null
+++ b/internal/agent/schedule/refusals.go
@@ -0,0 +1,40 @@
+package schedule
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
+)
+
+// busyRetryAfter is the time to come back after where no better one is known.
+const busyRetryAfter = time.Second
+
+func queueFull(retryAfter time.Duration) *refusal.Refusal {
+	return busy("the endpoint cannot begin the request in time", max(retryAfter, busyRetryAfter))
+}
+
+func slotsInUse() *refusal.Refusal {
+	return busy("every adapter slot of the endpoint is in use", busyRetryAfter)
+}
+
+func busy(message string, retryAfter time.Duration) *refusal.Refusal {
+	return &refusal.Refusal{
+		Status: http.StatusServiceUnavailable, Type: refusal.TypeUnavailable, Code: refusal.CodeEndpointBusy,
+		Message: message, Ran: refusal.RanNo, RetryAfter: retryAfter,
+	}
+}
+
+func loadFailed(retryAfter time.Duration) *refusal.Refusal {
+	return &refusal.Refusal{
+		Status: http.StatusServiceUnavailable, Type: refusal.TypeEndpoint, Code: refusal.CodeAdapterLoadFailed,
+		Message: "the endpoint could not load the adapter", Ran: refusal.RanNo, RetryAfter: retryAfter,
+	}
+}
+
+func noFence() *refusal.Refusal {
+	return &refusal.Refusal{
+		Status: http.StatusServiceUnavailable, Type: refusal.TypeEndpoint, Code: refusal.CodeAdapterLoadFailed,
+		Message: "the endpoint takes no load orders now", Ran: refusal.RanNo, RetryAfter: busyRetryAfter,
+	}
+}
--- a/internal/agent/schedule/schedule.go
+++ b/internal/agent/schedule/schedule.go
@@ -1,5 +1,10 @@
 // Package schedule gives each attempt its turn on the endpoint: it waits for
 // capacity and for the adapter build to be resident.
+//
+// Service is the Scheduler. It puts the decisions of policy/fairqueue (who runs
+// next) and policy/slots (which builds the engine holds) to work: it keeps the
+// waiting attempts, gives orders to the engine outside its lock, and tells each
+// attempt at once when its turn has come or will not come.
 package schedule
 
 import (
--- a/internal/entry/callers/completions.go
+++ b/internal/entry/callers/completions.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/endpoints"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
@@ -82,6 +83,7 @@
 			Weight:         c.tenant.Weight,
 			Cost:           promptTokens(body) + maxTokens,
 			Stream:         fields.Stream,
+			Prefix:         endpoints.Prefix(c.tenant.Organisation, body),
 		},
 	}, nil
 }
--- /dev/null
+++ b/internal/entry/endpoints/endpoints.go
@@ -0,0 +1,162 @@
+package endpoints
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/placement"
+)
+
+// Views gives the last reading of the VM list.
+type Views interface {
+	View() *directory.View
+}
+
+// Options configures New.
+type Options struct {
+	Directory Views
+	Placement placement.Config
+	Metrics   tally.Scope
+}
+
+// Chooser is a dispatch.Endpoints. It is safe for concurrent use.
+type Chooser struct {
+	opts    Options
+	metrics metrics
+
+	mu     sync.Mutex
+	placer *placement.Placer
+	view   *directory.View
+	vms    map[ident.VM]vmlist.VM
+}
+
+// New returns a Chooser.
+func New(opts Options) *Chooser {
+	return &Chooser{
+		opts:    opts,
+		metrics: newMetrics(opts.Metrics),
+		placer:  placement.New(opts.Placement),
+	}
+}
+
+// DefaultPlacement returns the placement settings of an entry.
+func DefaultPlacement() placement.Config {
+	return placement.Config{
+		Adapters:        20_000,
+		Prefixes:        20_000,
+		Returned:        4,
+		DemandHalfLife:  30 * time.Second,
+		LoadHalfLife:    2 * time.Second,
+		ResidentFor:     2 * time.Minute,
+		TargetBusy:      0.5,
+		LoadDelay:       2 * time.Second,
+		PrefixGain:      200 * time.Millisecond,
+		DefaultCapacity: 16,
+		DefaultElapsed:  5 * time.Second,
+		Holdback:        500 * time.Millisecond,
+		MaxHoldback:     30 * time.Second,
+	}
+}
+
+// Candidates implements dispatch.Endpoints.
+func (c *Chooser) Candidates(job wire.Job) []vmlist.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refresh()
+	chosen := c.placer.Choose(time.Now(), placementJob(job))
+	out := make([]vmlist.VM, len(chosen))
+	for i, id := range chosen {
+		out[i] = c.vms[id]
+	}
+	c.metrics.choices.Inc(1)
+	if len(out) == 0 {
+		c.metrics.none.Inc(1)
+	}
+	return out
+}
+
+// Observe implements dispatch.Endpoints.
+func (c *Chooser) Observe(o dispatch.Observation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	job := placementJob(o.Job)
+	load := placement.Load{Running: o.Load.Running, Capacity: o.Load.Capacity, Queued: o.Load.Queued}
+	switch o.Outcome {
+	case dispatch.OutcomeSent:
+		c.placer.Sent(o.VM)
+	case dispatch.OutcomeAnswer:
+		c.countResidency(o)
+		c.placer.Answered(now, o.VM, job, o.Boot, load)
+	case dispatch.OutcomeDone:
+		c.placer.Done(o.VM, o.Elapsed)
+	case dispatch.OutcomeRefused:
+		c.metrics.refused.Inc(1)
+		c.placer.Refused(now, o.VM, job, load)
+	case dispatch.OutcomeFailed:
+		c.metrics.failed.Inc(1)
+		c.placer.Failed(now, o.VM)
+	}
+}
+
+func (c *Chooser) countResidency(o dispatch.Observation) {
+	if o.Job.Adapter == "" {
+		return
+	}
+	if o.Load.Resident {
+		c.metrics.resident.Inc(1)
+		return
+	}
+	c.metrics.notResident.Inc(1)
+}
+
+// refresh takes over a new reading of the VM list.
+func (c *Chooser) refresh() {
+	view := c.opts.Directory.View()
+	if view == c.view {
+		return
+	}
+	c.view = view
+	c.vms = make(map[ident.VM]vmlist.VM, len(view.VMs))
+	var endpoints []placement.Endpoint
+	entries := 0
+	for _, vm := range view.VMs {
+		c.vms[vm.ID] = vm
+		if vm.Role == vmlist.RoleEntry {
+			entries++
+			continue
+		}
+		endpoints = append(endpoints, placementEndpoint(vm))
+	}
+	c.placer.SetEndpoints(endpoints, entries)
+	c.metrics.endpoints.Update(float64(len(endpoints)))
+	adapters, _ := c.placer.Remembered()
+	c.metrics.adapters.Update(float64(adapters))
+}
+
+func placementEndpoint(vm vmlist.VM) placement.Endpoint {
+	return placement.Endpoint{
+		VM:      vm.ID,
+		Domain:  vm.FailureDomain,
+		Pool:    placement.Pool{Base: vm.Base, Service: vm.Service},
+		Leaving: vm.State != vmlist.StateLive,
+	}
+}
+
+func placementJob(job wire.Job) placement.Job {
+	return placement.Job{
+		Pool:    placement.Pool{Base: job.Base, Service: job.Service},
+		Adapter: job.Adapter,
+		Version: job.Version,
+		Prefix:  job.Prefix,
+		Spread:  xxhash.Sum64String(string(job.Request)),
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/admission"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/callers"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/endpoints"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
@@ -100,9 +101,13 @@
 func (e *Entry) callersHandler(client *transport.Client) http.Handler {
 	s := e.opts.Settings
 	dispatcher := dispatch.New(dispatch.Options{
-		Client:    client,
-		Endpoints: &dispatch.Rendezvous{Directory: e.directory},
-		Timeline:  e.ring,
+		Client: client,
+		Endpoints: endpoints.New(endpoints.Options{
+			Directory: e.directory,
+			Placement: endpoints.DefaultPlacement(),
+			Metrics:   e.metrics.Scope,
+		}),
+		Timeline: e.ring,
 	})
 	return callers.NewHandler(callers.Options{
 		Config:       e.replica.Current,
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -74,6 +74,7 @@
 	Timeout        time.Duration      // Time left until the caller's deadline.
 	Stream         bool               // Whether the answer is a stream of events.
 	Alone          bool               // Whether no other suspect may run beside it.
+	Prefix         uint64             // Hash of the organisation and the prompt's beginning, 0 where none; stays in the entry.
 }
 
 // Encode writes the job into h.
