At most once, retries, quarantine, whole answers, draining, fencing: thin form, wired

Cause: attempts were retried by a fixed count, claims did not exist, an agent drained on a flag only, orders carried no fencing number, and a plain answer that broke could not be tried elsewhere. Change: pure policy/retry, policy/claim, policy/quarantine; agent/claims, agent/drain, agent/watch, agent/fencing; intake and dispatch use them. Agents and entries hold a plain answer until it is whole; streams go event by event. Redirects of endpoints are passed on and not followed. The fleet's client pings silent HTTP/2 connections.

--- a/cmd/hyssop-agent/main.go
+++ b/cmd/hyssop-agent/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/agent"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -50,6 +51,8 @@
 	process.Flag(app, "order-timeout", "Longest time for one order to the endpoint.").Default("30s").DurationVar(&s.OrderTimeout)
 	process.Flag(app, "drain-timeout", "Longest time that running work gets at shutdown.").Default("5m").DurationVar(&s.DrainTimeout)
 	process.Flag(app, "store-timeout", "Longest time for one call to the key-value service.").Default("2s").DurationVar(&s.StoreTimeout)
+	process.Flag(app, "claim-retention", "How long an Idempotency-Key is remembered.").Default("24h").DurationVar(&s.ClaimRetention)
+	process.Flag(app, "vm-list", "URL of the platform's VM list, to learn that this VM is leaving; not read where empty.").StringVar(&s.VMListURL)
 	process.Flag(app, "max-body-bytes", "Largest request body in bytes.").Default("4194304").Int64Var(&s.MaxBodyBytes)
 	process.Flag(app, "timeline-events", "Events that the time line keeps.").Default("8192").IntVar(&s.TimelineEvents)
 }
@@ -63,7 +66,12 @@
 	if err != nil {
 		return err
 	}
+	var list vmlist.List
+	if s.VMListURL != "" {
+		list = vmlist.NewClient(s.VMListURL, s.StoreTimeout)
+	}
 	a, err := agent.New(agent.Options{
+		VMList:        list,
 		Settings:      s,
 		Store:         store.NewConsul(store.ConsulOptions{Address: s.StoreAddress, Prefix: "hyssop/", Timeout: s.StoreTimeout}),
 		FleetListener: fleet,
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,14 +12,19 @@
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/agent/claims"
+	"github.com/hyssoptiller/hyssoptiller/internal/agent/drain"
+	"github.com/hyssoptiller/hyssoptiller/internal/agent/fencing"
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/intake"
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/schedule"
+	"github.com/hyssoptiller/hyssoptiller/internal/agent/watch"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/engine"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -27,6 +32,7 @@
 type Options struct {
 	Settings      Settings
 	Store         store.Store
+	VMList        vmlist.List // Tells when the VM is leaving; not asked where nil.
 	FleetListener net.Listener
 	AdminListener net.Listener
 	Log           *logrus.Entry
@@ -39,12 +45,19 @@
 	ready   *process.Ready
 	metrics *process.Metrics
 	ring    *timeline.Ring
+	gate    *drain.Gate
+	fencing *fencing.Fencing
+	claims  *claims.Claims
+	watch   *watch.Watch
 	intake  *intake.Handler
 	tree    *suture.Supervisor
 }
 
 // New builds the agent's supervisor tree.
 func New(opts Options) (*Agent, error) {
+	if opts.Settings.ClaimRetention == 0 {
+		opts.Settings.ClaimRetention = DefaultClaimRetention
+	}
 	s := opts.Settings
 	clock := hlc.New(nil)
 	a := &Agent{
@@ -52,24 +65,20 @@
 		ready:   process.NewReady("starting"),
 		metrics: process.NewMetrics(),
 		ring:    timeline.NewRing(s.VM, clock, s.TimelineEvents),
+		tree:    process.NewSupervisor("agent", opts.Log, s.DrainTimeout),
 	}
 	endpoint := engine.NewClient(s.EndpointAddress, s.OrderTimeout, opts.Dial)
+	a.addGuards()
 	scheduler := schedule.New(schedule.Options{
-		Engine:   endpoint,
-		Fence:    func() (engine.Fence, bool) { return 0, false },
+		Engine:   fencing.NewGuard(endpoint, a.fencing),
+		Fence:    a.fencing.Current,
 		Permits:  schedule.UnlimitedLoads{},
 		Slots:    s.Slots,
 		Capacity: s.Capacity,
 		Log:      opts.Log,
 		Timeline: a.ring,
 	})
-	a.intake = intake.NewHandler(intake.Options{
-		Endpoint:     endpoint,
-		Scheduler:    scheduler,
-		Timeline:     a.ring,
-		Metrics:      a.metrics.Scope,
-		MaxBodyBytes: s.MaxBodyBytes,
-	})
+	a.addIntake(endpoint, scheduler)
 	router := chi.NewRouter()
 	router.Method("POST", wire.PathRun, a.intake)
 	fleet, err := transport.NewServer(s.Security, clock, router)
@@ -77,12 +86,50 @@
 		return nil, errors.Trace(err)
 	}
 	admin := process.AdminHandler(a.ready, a.metrics)
-	a.tree = process.NewSupervisor("agent", opts.Log, s.DrainTimeout)
 	a.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: opts.FleetListener, Grace: s.DrainTimeout})
 	a.tree.Add(process.NewHTTPServer("admin", opts.AdminListener, admin, time.Second))
 	return a, nil
 }
 
+// addGuards adds what decides whether the agent may take and order work.
+func (a *Agent) addGuards() {
+	s := a.opts.Settings
+	a.gate = drain.NewGate(drain.Options{Log: a.opts.Log, Timeline: a.ring, OnChange: a.readiness})
+	a.fencing = fencing.New(fencing.Options{
+		Store: a.opts.Store, VM: s.VM, Checks: s.ChecksFence, Gate: a.gate, Timeline: a.ring, Log: a.opts.Log,
+	})
+	a.claims = claims.New(claims.Options{
+		Store: a.opts.Store, Timeout: s.StoreTimeout, Retention: s.ClaimRetention, Persist: s.DrainTimeout,
+		Timeline: a.ring, Metrics: a.metrics.Scope,
+	})
+	a.tree.Add(a.fencing)
+	a.tree.Add(a.claims)
+	if a.opts.VMList != nil {
+		a.tree.Add(&drain.Listed{Gate: a.gate, List: a.opts.VMList, VM: s.VM})
+	}
+}
+
+func (a *Agent) addIntake(endpoint engine.Engine, scheduler schedule.Scheduler) {
+	a.watch = watch.New(watch.Options{
+		Endpoint: endpoint, Booted: scheduler, Gate: a.gate,
+		Timeline: a.ring, Metrics: a.metrics.Scope, Log: a.opts.Log,
+	})
+	a.tree.Add(a.watch)
+	a.intake = intake.NewHandler(intake.Options{
+		Endpoint: endpoint, Scheduler: scheduler, Gate: a.gate, Claims: a.claims, Watch: a.watch,
+		Timeline: a.ring, Metrics: a.metrics.Scope, MaxBodyBytes: a.opts.Settings.MaxBodyBytes,
+	})
+}
+
+// readiness follows the gate: an agent that takes no new work is not ready.
+func (a *Agent) readiness(reason drain.Reason) {
+	if reason == "" {
+		a.ready.Set()
+		return
+	}
+	a.ready.Not(string(reason))
+}
+
 // Serve runs the agent until ctx ends, then drains: new work is refused and
 // running work finishes within the drain timeout.
 func (a *Agent) Serve(ctx context.Context) error {
@@ -97,10 +144,12 @@
 		return err
 	case <-ctx.Done():
 	}
-	a.ready.Not("draining")
-	a.intake.Drain()
+	a.gate.Set(drain.ReasonSignal, true)
 	a.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
 	stop()
 	<-done
+	flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.opts.Settings.DrainTimeout)
+	defer cancel()
+	a.claims.Flush(flush)
 	return nil
 }
--- a/internal/agent/intake/intake.go
+++ b/internal/agent/intake/intake.go
@@ -1,35 +1,63 @@
 // Package intake takes attempts from entries, gives each its turn on the
 // endpoint and passes the endpoint's answer back.
+//
+// An attempt on a route that is not idempotent runs to its end once it has
+// begun, also where the entry has gone meanwhile. With an Idempotency-Key its
+// claim is taken before it runs and its outcome stored before it is answered.
 package intake
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"net/url"
-	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/agent/claims"
+	"github.com/hyssoptiller/hyssoptiller/internal/agent/drain"
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/schedule"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
-	"github.com/hyssoptiller/hyssoptiller/internal/platform/engine"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/claim"
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
 )
 
-const (
-	copyBufferBytes = 32 << 10
-	retryAfter      = time.Second
-)
+// clockSkew is how far the clocks of an entry and an agent may differ before
+// an attempt is taken for late.
+const clockSkew = claim.ClockSkew
+
+// Endpoint is the part of engine.Engine that runs requests.
+type Endpoint interface {
+	// Run sends one request; the caller closes the answer's body.
+	Run(ctx context.Context, req *http.Request) (*http.Response, error)
+}
+
+// Claimer is the part of claims.Claims that takes claims.
+type Claimer interface {
+	// Take claims the job's key. It returns the claim where the job may run,
+	// the stored outcome where it is a repeat, or a *refusal.Refusal.
+	Take(ctx context.Context, job wire.Job, body []byte) (*claims.Held, *claim.Outcome, error)
+}
+
+// Watcher is the part of watch.Watch that follows the endpoint's lives.
+type Watcher interface {
+	// Boot returns the last known boot id.
+	Boot() ident.BootID
+	// Saw tells the boot id that an answer carried.
+	Saw(boot ident.BootID)
+	// Died reports whether the given life of the endpoint has ended.
+	Died(ctx context.Context, life ident.BootID) bool
+}
 
 // Options configures NewHandler.
 type Options struct {
-	Endpoint     engine.Engine // Where attempts run; only Run is used.
+	Endpoint     Endpoint
 	Scheduler    schedule.Scheduler
+	Gate         *drain.Gate
+	Claims       Claimer
+	Watch        Watcher
 	Timeline     *timeline.Ring
 	Metrics      tally.Scope
 	MaxBodyBytes int64
@@ -38,186 +66,188 @@
 // Handler serves wire.PathRun. It is safe for concurrent use.
 type Handler struct {
 	opts     Options
-	draining atomic.Bool
+	suspect  chan struct{} // Holds one value while a suspect runs.
 	attempts tally.Counter
 	refusals tally.Counter
 	broken   tally.Counter
+	crossed  tally.Counter
+	crashed  tally.Counter
+	late     tally.Counter
 }
 
-// NewHandler returns a Handler that takes work.
+// NewHandler returns a Handler that takes work while the gate is open.
 func NewHandler(opts Options) *Handler {
 	return &Handler{
 		opts:     opts,
+		suspect:  make(chan struct{}, 1),
 		attempts: opts.Metrics.Counter("agent_attempts_total"),
 		refusals: opts.Metrics.Counter("agent_refusals_total"),
 		broken:   opts.Metrics.Counter("agent_broken_answers_total"),
+		crossed:  opts.Metrics.Counter("agent_crossed_answers_total"),
+		crashed:  opts.Metrics.Counter("agent_attempts_crashed_total"),
+		late:     opts.Metrics.Counter("agent_late_attempts_total"),
 	}
 }
 
-// Drain refuses all later attempts; those that run go on.
-func (h *Handler) Drain() {
-	h.draining.Store(true)
-}
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.attempts.Inc(1)
 	job, err := wire.Decode(r.Header)
+	a := &attempt{h: h, w: w, job: job}
 	if err != nil {
-		h.refuse(w, job, malformed(err))
+		a.refuse(malformed(err))
 		return
 	}
-	if h.draining.Load() {
-		h.refuse(w, job, draining())
+	if refused := h.opts.Gate.Refuse(); refused != nil {
+		a.refuse(refused)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.opts.MaxBodyBytes))
+	a.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, h.opts.MaxBodyBytes))
 	if err != nil {
-		h.refuse(w, job, malformed(err))
+		a.refuse(malformed(err))
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), job.Timeout)
+	ctx, cancel := context.WithDeadline(r.Context(), deadline(job, time.Now()))
 	defer cancel()
-	h.run(ctx, w, job, body)
+	a.serve(ctx)
 }
 
-func (h *Handler) run(ctx context.Context, w http.ResponseWriter, job wire.Job, body []byte) {
-	turn, err := h.opts.Scheduler.Acquire(ctx, job)
+// deadline returns when the attempt's time is up. Time that the attempt spent
+// unread, while this process was paused, counts by the entry's clock.
+func deadline(job wire.Job, now time.Time) time.Time {
+	byTimeout := now.Add(job.Timeout)
+	if job.Deadline.IsZero() {
+		return byTimeout
+	}
+	byClock := now.Add(job.Deadline.Add(clockSkew).Sub(now))
+	if byClock.Before(byTimeout) {
+		return byClock
+	}
+	return byTimeout
+}
+
+// attempt is one attempt on its way through this package.
+type attempt struct {
+	h    *Handler
+	w    http.ResponseWriter
+	job  wire.Job
+	body []byte
+	life ident.BootID // Boot id of the endpoint when the attempt began to run.
+	held *claims.Held // Claim of the attempt; nil where it needs none.
+	used int64        // Tokens that the attempt took.
+}
+
+func (a *attempt) serve(ctx context.Context) {
+	done, err := a.takeTurn(ctx)
 	if err != nil {
-		h.refuse(w, job, noTurn(err))
+		a.refuse(a.noTurn(err))
 		return
 	}
-	defer func() { turn.Release(job.Cost) }()
-	h.record(timeline.KindRequestRunning, job)
-	resp, err := h.opts.Endpoint.Run(ctx, endpointRequest(ctx, job, body))
-	if err != nil {
-		h.refuse(w, job, endpointFailed(err))
+	defer done()
+	if !a.claim(ctx) {
 		return
 	}
-	defer resp.Body.Close()
-	h.pass(w, job, resp)
-}
-
-// pass copies the endpoint's answer and marks it complete where it was whole.
-func (h *Handler) pass(w http.ResponseWriter, job wire.Job, resp *http.Response) {
-	header := w.Header()
-	header.Set("Trailer", wire.TrailerComplete)
-	header.Set("Content-Type", resp.Header.Get("Content-Type"))
-	header.Set(wire.HeaderAttempt, string(job.Attempt))
-	header.Set(wire.HeaderLoad, h.opts.Scheduler.Load(job).String())
-	header.Set(wire.HeaderBoot, resp.Header.Get(engine.HeaderBoot))
-	w.WriteHeader(resp.StatusCode)
-	out := &endMark{w: w, flush: http.NewResponseController(w), stream: job.Stream}
-	_, err := io.CopyBuffer(out, resp.Body, make([]byte, copyBufferBytes))
-	if err != nil || !out.whole() {
-		h.broken.Inc(1)
+	if ctx.Err() != nil {
+		a.release(ctx)
+		a.h.late.Inc(1)
+		a.refuse(late())
 		return
 	}
-	header.Set(wire.TrailerComplete, "true")
-	h.record(timeline.KindRequestFinished, job)
-}
-
-func (h *Handler) refuse(w http.ResponseWriter, job wire.Job, r *refusal.Refusal) {
-	h.refusals.Inc(1)
-	r.RequestID = job.Request
-	w.Header().Set(wire.HeaderLoad, h.opts.Scheduler.Load(job).String())
-	h.opts.Timeline.Record(timeline.Event{
-		Kind: timeline.KindRequestRefused, Request: job.Request, Attempt: job.Attempt,
-		Organisation: job.Organisation, Detail: string(r.Code),
-	})
-	r.Write(w)
-}
-
-func (h *Handler) record(kind timeline.Kind, job wire.Job) {
-	h.opts.Timeline.Record(timeline.Event{
-		Kind: kind, Request: job.Request, Attempt: job.Attempt,
-		Organisation: job.Organisation, Adapter: job.Adapter, Version: job.Version,
-	})
-}
-
-// endMark passes a stream on and watches for its end mark.
-type endMark struct {
-	w      io.Writer
-	flush  *http.ResponseController
-	stream bool
-	tail   []byte
+	ctx, cancel := a.runContext(ctx)
+	defer cancel()
+	a.run(ctx)
 }
 
-var streamEnd = []byte("data: [DONE]")
-
-// Write implements io.Writer.
-func (e *endMark) Write(p []byte) (int, error) {
-	n, err := e.w.Write(p)
-	if err != nil || !e.stream {
-		return n, err
+// takeTurn waits until the attempt may run. Work that waits is refused when
+// the gate closes.
+func (a *attempt) takeTurn(ctx context.Context) (func(), error) {
+	ctx, cancel := a.h.opts.Gate.Waiting(ctx)
+	defer cancel()
+	alone, err := a.waitAlone(ctx)
+	if err != nil {
+		return nil, err
 	}
-	e.tail = append(e.tail, p...)
-	e.tail = e.tail[max(0, len(e.tail)-2*len(streamEnd)):]
-	_ = e.flush.Flush()
-	return n, nil
-}
-
-func (e *endMark) whole() bool {
-	return !e.stream || bytes.Contains(e.tail, streamEnd)
+	turn, err := a.h.opts.Scheduler.Acquire(ctx, a.job)
+	if err != nil {
+		alone()
+		return nil, err
+	}
+	done := func() {
+		turn.Release(a.used)
+		alone()
+	}
+	if refused := a.h.opts.Gate.Refuse(); refused != nil {
+		done()
+		return nil, refused
+	}
+	return done, nil
 }
 
-// endpointRequest builds the endpoint's request; it carries nothing of the
-// caller but the body, its type and the organisation.
-func endpointRequest(ctx context.Context, job wire.Job, body []byte) *http.Request {
-	req := (&http.Request{
-		Method:        job.Method,
-		Header:        make(http.Header),
-		Body:          io.NopCloser(bytes.NewReader(body)),
-		ContentLength: int64(len(body)),
-	}).WithContext(ctx)
-	req.URL = parsePath(job.Path)
-	if job.ContentType != "" {
-		req.Header.Set("Content-Type", job.ContentType)
+// waitAlone waits until no other suspect runs, where the attempt is one.
+func (a *attempt) waitAlone(ctx context.Context) (func(), error) {
+	if !a.job.Alone {
+		return func() {}, nil
 	}
-	if job.Organisation != "" {
-		req.Header.Set(wire.HeaderOrganisation, string(job.Organisation))
+	select {
+	case a.h.suspect <- struct{}{}:
+		return func() { <-a.h.suspect }, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	req.Header.Set(engine.HeaderRequestID, string(job.Attempt))
-	return req
 }
 
-func parsePath(path string) *url.URL {
-	u, err := url.ParseRequestURI(path)
+// claim takes the attempt's claim where it needs one, and reports whether the
+// attempt runs; otherwise the attempt is answered.
+func (a *attempt) claim(ctx context.Context) bool {
+	if a.job.Idempotent || a.job.IdempotencyKey == "" {
+		return true
+	}
+	held, outcome, err := a.h.opts.Claims.Take(ctx, a.job, a.body)
 	if err != nil {
-		return &url.URL{Path: "/"}
+		a.refuse(refusalOf(err))
+		return false
+	}
+	if outcome != nil {
+		a.replay(*outcome)
+		return false
 	}
-	return u
+	a.held = held
+	return true
 }
 
-func malformed(err error) *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusBadRequest, Type: refusal.TypeInvalidRequest, Code: refusal.CodeBadRequest,
-		Message: err.Error(), Ran: refusal.RanNo,
+// release gives the claim back where the attempt did not run.
+func (a *attempt) release(ctx context.Context) {
+	if a.held != nil {
+		a.held.Release(ctx)
 	}
 }
 
-func draining() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeUnavailable, Code: refusal.CodeDraining,
-		Message: "the endpoint takes no new work", Ran: refusal.RanNo, RetryAfter: retryAfter,
+// runContext returns the context of the run. Work that may not be repeated is
+// not cut short when the entry goes away.
+func (a *attempt) runContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if a.job.Idempotent {
+		return ctx, func() {}
 	}
+	end, _ := ctx.Deadline()
+	return context.WithDeadline(context.WithoutCancel(ctx), end)
 }
 
-// noTurn turns a scheduler's error into a refusal: nothing ran.
-func noTurn(err error) *refusal.Refusal {
-	var r *refusal.Refusal
-	if errors.As(err, &r) {
-		return r
-	}
-	return &refusal.Refusal{
-		Status: http.StatusGatewayTimeout, Type: refusal.TypeUnavailable, Code: refusal.CodeDeadline,
-		Message: "the request's time ran out while it waited", Ran: refusal.RanNo,
-	}
+func (a *attempt) refuse(r *refusal.Refusal) {
+	a.h.refusals.Inc(1)
+	copied := *r
+	copied.RequestID = a.job.Request
+	a.w.Header().Set(wire.HeaderAttempt, string(a.job.Attempt))
+	a.w.Header().Set(wire.HeaderLoad, a.h.opts.Scheduler.Load(a.job).String())
+	a.h.opts.Timeline.Record(timeline.Event{
+		Kind: timeline.KindRequestRefused, Request: a.job.Request, Attempt: a.job.Attempt,
+		Organisation: a.job.Organisation, Detail: string(r.Code),
+	})
+	copied.Write(a.w)
 }
 
-func endpointFailed(error) *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusBadGateway, Type: refusal.TypeEndpoint, Code: refusal.CodeEndpointFailed,
-		Message: "the endpoint failed before it answered", Ran: refusal.RanUnknown,
-	}
+func (a *attempt) record(kind timeline.Kind) {
+	a.h.opts.Timeline.Record(timeline.Event{
+		Kind: kind, Request: a.job.Request, Attempt: a.job.Attempt,
+		Organisation: a.job.Organisation, Adapter: a.job.Adapter, Version: a.job.Version,
+	})
 }
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -8,6 +8,9 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/settings"
 )
 
+// DefaultClaimRetention is how long an Idempotency-Key is remembered.
+const DefaultClaimRetention = 24 * time.Hour
+
 // Settings are the agent's settings, as flags and variables give them.
 type Settings struct {
 	VM              ident.VM
@@ -24,6 +27,8 @@
 	OrderTimeout    time.Duration
 	DrainTimeout    time.Duration
 	StoreTimeout    time.Duration
+	ClaimRetention  time.Duration // How long an Idempotency-Key is remembered; DefaultClaimRetention where 0.
+	VMListURL       string        // URL of the platform's VM list; not read where empty.
 	MaxBodyBytes    int64
 	TimelineEvents  int // Events that the time line keeps.
 }
@@ -44,6 +49,10 @@
 	c.Positive("order-timeout", s.OrderTimeout)
 	c.Positive("drain-timeout", s.DrainTimeout)
 	c.Positive("store-timeout", s.StoreTimeout)
+	c.AtLeast("claim-retention", int64(s.ClaimRetention), 0)
+	if s.VMListURL != "" {
+		c.URL("vm-list", s.VMListURL)
+	}
 	c.AtLeast("max-body-bytes", s.MaxBodyBytes, 1)
 	c.AtLeast("timeline-events", int64(s.TimelineEvents), 1)
 	return c.Err()
--- /dev/null
+++ b/internal/entry/dispatch/attempt.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/retry"
+	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
+)
+
+// attempt is one attempt on its way through this package.
+type attempt struct {
+	d    *Dispatcher
+	req  Request
+	job  wire.Job
+	vm   vmlist.VM
+	w    http.ResponseWriter
+	sent time.Time
+	load wire.Load
+	boot ident.BootID
+}
+
+// attempt sends the request to one agent and passes its answer on.
+func (d *Dispatcher) attempt(ctx context.Context, req Request, vm vmlist.VM, w http.ResponseWriter) ended {
+	a := &attempt{d: d, req: req, job: req.Job, vm: vm, w: w, sent: time.Now()}
+	a.job.Attempt = ident.NewAttemptID()
+	a.job.Timeout = time.Until(req.Deadline)
+	a.job.Deadline = req.Deadline
+	d.metrics.attempts.Inc(1)
+	a.record(timeline.KindRequestSent)
+	a.observe(OutcomeSent)
+	end := a.run(ctx)
+	if end.result.Refusal != nil || end.result.Broken {
+		a.observe(a.outcome(end))
+	} else {
+		a.observe(OutcomeDone)
+	}
+	return end
+}
+
+// outcome tells the two ways apart in which an attempt goes without an answer.
+func (a *attempt) outcome(end ended) Outcome {
+	if end.kind == retry.KindTurnedAway || end.kind == retry.KindFinal {
+		return OutcomeRefused
+	}
+	return OutcomeFailed
+}
+
+func (a *attempt) run(ctx context.Context) ended {
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	httpReq, err := a.request(traced)
+	if err != nil {
+		return ended{result: refused(unsent()), kind: retry.KindUnreached}
+	}
+	resp, err := a.d.opts.Client.HTTP.Do(httpReq)
+	if err != nil && !connected.Load() {
+		// No connection, so not a byte has left.
+		return ended{result: refused(unsent()), kind: retry.KindUnreached}
+	}
+	if err != nil {
+		return ended{result: refused(unanswered(ctx)), kind: retry.KindFailed}
+	}
+	defer resp.Body.Close()
+	return a.receive(ctx, resp)
+}
+
+// request builds the agent's request. Its body is of a type that net/http
+// cannot send a second time by itself, also where it is empty.
+func (a *attempt) request(ctx context.Context) (*http.Request, error) {
+	body := io.NopCloser(bytes.NewReader(a.req.Body))
+	url := a.d.opts.Client.URL(a.vm.Address, wire.PathRun)
+	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	httpReq.ContentLength = int64(len(a.req.Body))
+	a.job.Encode(httpReq.Header)
+	return httpReq, nil
+}
+
+// receive checks that an answer belongs to the attempt and passes it on.
+func (a *attempt) receive(ctx context.Context, resp *http.Response) ended {
+	a.load, _ = wire.ParseLoad(resp.Header.Get(wire.HeaderLoad))
+	a.boot = ident.BootID(resp.Header.Get(wire.HeaderBoot))
+	if resp.Header.Get(wire.HeaderAttempt) != string(a.job.Attempt) {
+		a.d.metrics.crossed.Inc(1)
+		a.record(timeline.KindAnswerDropped)
+		return ended{result: refused(crossed()), kind: retry.KindFailed}
+	}
+	if resp.Header.Get(refusal.HeaderRan) != "" {
+		return a.receiveRefusal(resp)
+	}
+	a.observe(OutcomeAnswer)
+	return a.pass(ctx, resp)
+}
+
+func (a *attempt) receiveRefusal(resp *http.Response) ended {
+	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	r, ok := refusal.Parse(resp.StatusCode, resp.Header, data)
+	if !ok {
+		return ended{result: refused(crossed()), kind: retry.KindFailed}
+	}
+	crashed := resp.Header.Get(wire.HeaderCrashed) == "true"
+	return ended{result: refused(r), kind: kindOf(r), crashed: crashed}
+}
+
+// kindOf says whether an agent's refusal is worth another endpoint.
+func kindOf(r *refusal.Refusal) retry.Kind {
+	switch {
+	case r.Ran != refusal.RanNo:
+		return retry.KindFailed
+	case r.Code == refusal.CodeClaimsUnavailable:
+		return retry.KindFinal // All agents ask the same store.
+	case !r.Retryable():
+		return retry.KindFinal
+	case r.Code == refusal.CodeAdapterLoadFailed:
+		return retry.KindFailed // A load was spent.
+	default:
+		return retry.KindTurnedAway
+	}
+}
+
+func (a *attempt) observe(outcome Outcome) {
+	a.d.opts.Endpoints.Observe(Observation{
+		Job: a.job, VM: a.vm.ID, Outcome: outcome, Load: a.load, Boot: a.boot, Elapsed: time.Since(a.sent),
+	})
+}
+
+func (a *attempt) record(kind timeline.Kind) {
+	a.d.opts.Timeline.Record(timeline.Event{
+		Kind: kind, Request: a.job.Request, Attempt: a.job.Attempt, Organisation: a.job.Organisation,
+		Endpoint: ident.Endpoint(a.vm.ID), Adapter: a.job.Adapter, Version: a.job.Version,
+	})
+}
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -1,36 +1,30 @@
 // Package dispatch carries an admitted request to an agent and the answer
 // back to the caller.
 //
-// A request that is not idempotent is sent once: after its first byte has
-// left, a missing answer is refused with ran "unknown". An idempotent one is
-// tried elsewhere while nothing has reached the caller.
+// A request that is not idempotent is sent once: after a connection was got, a
+// missing answer is refused with ran "unknown". An idempotent one is tried
+// elsewhere while nothing has reached the caller, within its deadline and a
+// budget of retries.
 package dispatch
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
+	"sync"
 	"time"
 
-	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/quarantine"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/retry"
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
 )
 
-const (
-	copyBufferBytes  = 32 << 10
-	maxRefusalBytes  = 64 << 10
-	maxAttempts      = 3
-	busyRetryAfter   = time.Second
-	failedRetryAfter = 2 * time.Second
-)
-
 // Endpoints chooses agents for jobs and learns from their answers.
 type Endpoints interface {
 	// Candidates returns the VMs whose endpoint can run the job, best first.
@@ -62,26 +56,50 @@
 	Elapsed time.Duration // Since the attempt was sent.
 }
 
-// Options configures New.
+// Options configures New. Metrics, Notices, Retry and Budget may be left out.
 type Options struct {
 	Client    *transport.Client
 	Endpoints Endpoints
 	Timeline  *timeline.Ring
+	Metrics   tally.Scope
+	Notices   Notices
+	Retry     retry.Limits
+	Budget    retry.BudgetLimits
 }
 
-// Dispatcher sends requests to agents.
+// Dispatcher sends requests to agents. It is safe for concurrent use.
 type Dispatcher struct {
-	opts Options
+	opts     Options
+	metrics  metrics
+	suspects *suspects
+
+	mu     sync.Mutex
+	budget *retry.Budget
 }
 
 // New returns a Dispatcher.
 func New(opts Options) *Dispatcher {
-	return &Dispatcher{opts: opts}
+	if opts.Retry == (retry.Limits{}) {
+		opts.Retry = retry.DefaultLimits()
+	}
+	if opts.Budget == (retry.BudgetLimits{}) {
+		opts.Budget = retry.DefaultBudget()
+	}
+	if opts.Metrics == nil {
+		opts.Metrics = tally.NoopScope
+	}
+	m := newMetrics(opts.Metrics)
+	return &Dispatcher{
+		opts:     opts,
+		metrics:  m,
+		suspects: newSuspects(opts.Notices, opts.Timeline, m),
+		budget:   retry.NewBudget(opts.Budget, time.Now()),
+	}
 }
 
 // Request is one admitted request.
 type Request struct {
-	Job      wire.Job  // Attempt and Timeout are set for each attempt.
+	Job      wire.Job  // Attempt, Timeout and Deadline are set for each attempt.
 	Body     []byte    // In the form that the endpoint expects.
 	Deadline time.Time // When the caller's time is up.
 }
@@ -100,143 +118,84 @@
 func (d *Dispatcher) Dispatch(ctx context.Context, req Request, w http.ResponseWriter) Result {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	last := noEndpoint(req)
-	for i, vm := range d.opts.Endpoints.Candidates(req.Job) {
-		if i == maxAttempts {
-			break
+	d.earnRetry()
+	ran := refusal.RanNo
+	last := ended{result: refused(noEndpoint()), kind: retry.KindFinal}
+	candidates := d.opts.Endpoints.Candidates(req.Job)
+	for i, vm := range candidates {
+		last = d.try(ctx, req, vm, w)
+		if last.result.Refusal == nil {
+			return last.result
 		}
-		result := d.attempt(ctx, req, vm, w)
-		if result.Refusal == nil || !d.mayRetry(ctx, req, result) {
-			return result
+		ran = retry.Worst(ran, last.result.Ran)
+		if !d.again(ctx, req, last, i+1, len(candidates)) {
+			break
 		}
-		last = result
 	}
-	return last
+	return d.giveUp(req, last.result.Refusal, ran)
 }
 
-func (d *Dispatcher) mayRetry(ctx context.Context, req Request, result Result) bool {
+// again reports whether the next candidate is tried.
+func (d *Dispatcher) again(ctx context.Context, req Request, last ended, number, candidates int) bool {
 	if ctx.Err() != nil {
 		return false
 	}
-	if result.Ran == refusal.RanNo {
-		return result.Refusal.Retryable()
-	}
-	return req.Job.Idempotent
-}
-
-func (d *Dispatcher) attempt(ctx context.Context, req Request, vm vmlist.VM, w http.ResponseWriter) Result {
-	job := req.Job
-	job.Attempt = ident.NewAttemptID()
-	job.Timeout = time.Until(req.Deadline)
-	d.opts.Timeline.Record(timeline.Event{
-		Kind: timeline.KindRequestSent, Request: job.Request, Attempt: job.Attempt,
-		Organisation: job.Organisation, Endpoint: ident.Endpoint(vm.ID), Adapter: job.Adapter, Version: job.Version,
-	})
-	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost,
-		d.opts.Client.URL(vm.Address, wire.PathRun), bytes.NewReader(req.Body))
-	if err != nil {
-		return refused(unsent(req))
-	}
-	httpReq.GetBody = nil // Keeps the transport from sending the body again by itself.
-	job.Encode(httpReq.Header)
-	resp, err := d.opts.Client.HTTP.Do(httpReq)
-	if err != nil {
-		return refused(sendFailure(ctx, req, err))
-	}
-	defer resp.Body.Close()
-	return d.pass(req, job, resp, w)
-}
-
-// pass copies an agent's answer to the caller.
-func (d *Dispatcher) pass(req Request, job wire.Job, resp *http.Response, w http.ResponseWriter) Result {
-	if resp.Header.Get(refusal.HeaderRan) != "" {
-		return refused(readRefusal(req, resp))
-	}
-	if resp.Header.Get(wire.HeaderAttempt) != string(job.Attempt) {
-		d.opts.Timeline.Record(timeline.Event{Kind: timeline.KindAnswerDropped, Request: job.Request, Attempt: job.Attempt})
-		return refused(crossed(req))
+	d.mu.Lock()
+	again, reason := retry.Decide(d.opts.Retry, retry.Attempt{
+		Kind: last.kind, Ran: last.result.Ran, Idempotent: req.Job.Idempotent,
+		Number: number, Untried: candidates - number, Left: time.Until(req.Deadline),
+	}, d.budget, time.Now())
+	d.mu.Unlock()
+	d.metrics.decision(reason).Inc(1)
+	if again {
+		d.opts.Timeline.Record(timeline.Event{
+			Kind: timeline.KindRequestRetried, Request: req.Job.Request,
+			Organisation: req.Job.Organisation, Detail: string(last.result.Refusal.Code),
+		})
 	}
-	w.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
-	w.WriteHeader(resp.StatusCode)
-	out := &counter{w: w, stream: job.Stream, flush: http.NewResponseController(w)}
-	_, err := io.CopyBuffer(out, resp.Body, make([]byte, copyBufferBytes))
-	whole := err == nil && resp.Trailer.Get(wire.TrailerComplete) == "true"
-	return Result{Ran: refusal.RanYes, Broken: !whole, Events: out.events, Body: out.head}
+	return again
 }
 
-// counter passes an answer on as it arrives.
-type counter struct {
-	w      io.Writer
-	flush  *http.ResponseController
-	stream bool
-	events int64
-	head   []byte
+func (d *Dispatcher) earnRetry() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.Request(time.Now())
 }
 
-// Write implements io.Writer.
-func (c *counter) Write(p []byte) (int, error) {
-	if c.stream {
-		c.events += int64(bytes.Count(p, []byte("data: ")))
-	} else if len(c.head) < maxRefusalBytes {
-		c.head = append(c.head, p...)
-	}
-	n, err := c.w.Write(p)
-	if err == nil && c.stream {
-		_ = c.flush.Flush()
-	}
-	return n, err
-}
-
-func refused(r *refusal.Refusal) Result {
-	return Result{Ran: r.Ran, Refusal: r}
-}
-
-func readRefusal(req Request, resp *http.Response) *refusal.Refusal {
-	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
-	r, ok := refusal.Parse(resp.StatusCode, resp.Header, data)
-	if !ok {
-		return crossed(req)
-	}
+// giveUp returns the final refusal at once. It tells what is known of all
+// attempts together, and an idempotent request is told when to come back.
+func (d *Dispatcher) giveUp(req Request, last *refusal.Refusal, ran refusal.Ran) Result {
+	r := *last
+	r.Ran = ran
 	r.RequestID = req.Job.Request
-	return r
-}
-
-func noEndpoint(req Request) Result {
-	return refused(&refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeUnavailable, Code: refusal.CodeNoEndpoint,
-		Message: "no endpoint can take the request now", RequestID: req.Job.Request,
-		Ran: refusal.RanNo, RetryAfter: failedRetryAfter,
-	})
-}
-
-func unsent(req Request) *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeUnavailable, Code: refusal.CodeEndpointFailed,
-		Message: "the endpoint was not reached", RequestID: req.Job.Request,
-		Ran: refusal.RanNo, RetryAfter: busyRetryAfter,
-	}
-}
-
-func crossed(req Request) *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusBadGateway, Type: refusal.TypeEndpoint, Code: refusal.CodeBrokenAnswer,
-		Message: "the endpoint's answer did not belong to the request", RequestID: req.Job.Request,
-		Ran: refusal.RanUnknown,
-	}
-}
-
-func sendFailure(ctx context.Context, req Request, err error) *refusal.Refusal {
-	if neverSent(err) {
-		return unsent(req)
-	}
-	r := &refusal.Refusal{
-		Status: http.StatusBadGateway, Type: refusal.TypeEndpoint, Code: refusal.CodeEndpointFailed,
-		Message: "the endpoint failed before it answered", RequestID: req.Job.Request, Ran: refusal.RanUnknown,
+	if req.Job.Idempotent && ran != refusal.RanNo && r.RetryAfter == 0 {
+		r.RetryAfter = failedRetryAfter
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		r.Status = http.StatusGatewayTimeout
-		r.Code = refusal.CodeDeadline
-		r.Message = "the endpoint did not answer before the deadline"
+	return Result{Ran: ran, Refusal: &r}
+}
+
+// ended is an attempt that has ended.
+type ended struct {
+	result  Result
+	kind    retry.Kind
+	crashed bool // The endpoint died while the attempt ran.
+}
+
+// try runs one attempt, alone where the request is a suspect.
+func (d *Dispatcher) try(ctx context.Context, req Request, vm vmlist.VM, w http.ResponseWriter) ended {
+	id := d.suspects.identify(req)
+	verdict := d.suspects.begin(ctx, id)
+	switch verdict {
+	case quarantine.VerdictQuarantined:
+		d.metrics.quarantined.Inc(1)
+		return ended{result: refused(quarantined(d.suspects.until(id))), kind: retry.KindFinal}
+	case quarantine.VerdictWait:
+		return ended{result: refused(onTrial()), kind: retry.KindFinal}
+	case quarantine.VerdictAlone:
+		req.Job.Alone = true
+	case quarantine.VerdictRun:
 	}
-	return r
+	end := d.attempt(ctx, req, vm, w)
+	d.suspects.end(id, verdict, end, req.Job)
+	return end
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/gossip"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
@@ -51,6 +52,7 @@
 	replica   *config.Replica
 	directory *directory.Directory
 	running   *running.Index
+	notices   *gossip.Notices
 	tree      *suture.Supervisor
 }
 
@@ -68,6 +70,7 @@
 		replica:   config.NewReplica(config.ReplicaOptions{Store: opts.Store, Log: opts.Log, Timeline: ring}),
 		directory: directory.New(directory.Options{List: opts.VMList, Interval: s.VMListInterval, Log: opts.Log}),
 		running:   running.NewIndex(),
+		notices:   gossip.NewNotices(),
 		tree:      process.NewSupervisor("entry", opts.Log, s.DrainTimeout),
 	}
 	e.replica.OnChange(e.configChanged)
@@ -103,6 +106,8 @@
 		Client:    client,
 		Endpoints: &dispatch.Rendezvous{Directory: e.directory},
 		Timeline:  e.ring,
+		Metrics:   e.metrics.Scope,
+		Notices:   e.notices,
 	})
 	return callers.NewHandler(callers.Options{
 		Config:       e.replica.Current,
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -25,6 +25,10 @@
 	minSecretBytes    = 16
 	idleConnsPerHost  = 256
 	readHeaderTimeout = 10 * time.Second
+	// A silent connection is asked for a sign of life, so that a process that
+	// was stopped does not hold its callers until their deadlines.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 3 * time.Second
 )
 
 // Errors of Security.Check.
@@ -87,6 +91,7 @@
 		DisableCompression:  true,
 		DialContext:         dial,
 		Protocols:           new(http.Protocols),
+		HTTP2:               &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	scheme := "http"
 	if s.TLS() {
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -4,9 +4,10 @@
 // The entry posts the request's body to PathRun with the Job in headers; the
 // body is already in the form that the endpoint expects. The agent answers
 // either with a refusal, which carries the header Hyssop-Ran, or with the
-// endpoint's answer, which carries HeaderAttempt, HeaderBoot and HeaderLoad
-// and ends with the trailer TrailerComplete of value "true" where the
-// endpoint's answer was whole.
+// endpoint's answer, which ends with the trailer TrailerComplete of value
+// "true" where the endpoint's answer was whole. Both carry HeaderAttempt and
+// HeaderLoad; an answer carries HeaderBoot too. HeaderCrashed marks a refusal,
+// and TrailerCrashed an answer, whose endpoint died while the attempt ran.
 package wire
 
 import (
@@ -39,6 +40,7 @@
 	HeaderWeight         = "Hyssop-Weight"
 	HeaderCost           = "Hyssop-Cost"
 	HeaderTimeout        = "Hyssop-Timeout-Ms"
+	HeaderDeadline       = "Hyssop-Deadline-Ms"
 	HeaderStream         = "Hyssop-Stream"
 	HeaderAlone          = "Hyssop-Alone"
 )
@@ -47,8 +49,14 @@
 const (
 	HeaderBoot = "Hyssop-Boot"
 	HeaderLoad = "Hyssop-Load"
+	// HeaderCrashed is "true" on a refusal whose endpoint died meanwhile.
+	HeaderCrashed = "Hyssop-Crashed"
+	// HeaderReplayed is "true" on the stored answer to a repeat.
+	HeaderReplayed = "Hyssop-Replayed"
 	// TrailerComplete is "true" where the whole answer was passed on.
 	TrailerComplete = "Hyssop-Complete"
+	// TrailerCrashed is "true" on a broken answer whose endpoint died.
+	TrailerCrashed = "Hyssop-Crashed-Midway"
 )
 
 // ErrMalformed says that the headers hold no valid Job.
@@ -72,6 +80,7 @@
 	Weight         int                // Organisation's weight in fair queueing, at least 1.
 	Cost           int64              // Tokens that the request may take.
 	Timeout        time.Duration      // Time left until the caller's deadline.
+	Deadline       time.Time          // The caller's deadline by the entry's clock; zero where unknown.
 	Stream         bool               // Whether the answer is a stream of events.
 	Alone          bool               // Whether no other suspect may run beside it.
 }
@@ -99,6 +108,9 @@
 	set(HeaderWeight, strconv.Itoa(j.Weight))
 	set(HeaderCost, strconv.FormatInt(j.Cost, 10))
 	set(HeaderTimeout, strconv.FormatInt(j.Timeout.Milliseconds(), 10))
+	if !j.Deadline.IsZero() {
+		set(HeaderDeadline, strconv.FormatInt(j.Deadline.UnixMilli(), 10))
+	}
 	set(HeaderStream, strconv.FormatBool(j.Stream))
 	set(HeaderAlone, strconv.FormatBool(j.Alone))
 }
@@ -123,6 +135,7 @@
 		Weight:         int(d.integer(HeaderWeight)),
 		Cost:           d.integer(HeaderCost),
 		Timeout:        time.Duration(d.integer(HeaderTimeout)) * time.Millisecond,
+		Deadline:       d.optionalTime(HeaderDeadline),
 		Stream:         d.boolean(HeaderStream),
 		Alone:          d.boolean(HeaderAlone),
 	}
@@ -163,3 +176,10 @@
 	}
 	return value
 }
+
+func (d *decoder) optionalTime(name string) time.Time {
+	if d.header.Get(name) == "" {
+		return time.Time{}
+	}
+	return time.UnixMilli(d.integer(name))
+}
--- a/internal/platform/engine/engine.go
+++ b/internal/platform/engine/engine.go
@@ -84,7 +84,9 @@
 	// Unload orders the engine to drop a build.
 	Unload(ctx context.Context, r Resident, fence Fence) error
 	// Run sends one request; the caller closes the answer's body. Cancelling
-	// ctx cancels the engine's work.
+	// ctx cancels the engine's work. A request with Close set gets a
+	// connection of its own, so that an idle connection which the endpoint has
+	// closed meanwhile cannot leave open whether the request ran.
 	Run(ctx context.Context, req *http.Request) (*http.Response, error)
 }
 
@@ -92,6 +94,7 @@
 type Client struct {
 	address string
 	client  *http.Client
+	once    *http.Client // Opens a connection for each call.
 	timeout time.Duration
 }
 
@@ -99,8 +102,20 @@
 // Orders and health checks take at most timeout. Connections are opened by
 // dial, over TCP where it is nil.
 func NewClient(address string, timeout time.Duration, dial DialFunc) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnsPerHost, DialContext: dial}
-	return &Client{address: address, client: &http.Client{Transport: transport}, timeout: timeout}
+	kept := &http.Transport{MaxIdleConnsPerHost: idleConnsPerHost, DialContext: dial, DisableCompression: true}
+	once := &http.Transport{DisableKeepAlives: true, DialContext: dial, DisableCompression: true}
+	return &Client{
+		address: address,
+		client:  &http.Client{Transport: kept, CheckRedirect: passRedirect},
+		once:    &http.Client{Transport: once, CheckRedirect: passRedirect},
+		timeout: timeout,
+	}
+}
+
+// passRedirect makes a redirect the endpoint's answer: it is for the caller
+// to follow, and a second request would be a second run.
+func passRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
 }
 
 // Health implements Engine.
@@ -110,12 +125,12 @@
 		return Health{}, errors.WithType(err, ErrUnavailable)
 	}
 	h := Health{Boot: ident.BootID(resp.Header.Get(HeaderBoot))}
-	switch resp.StatusCode {
-	case http.StatusOK:
-		return h, nil
-	case http.StatusServiceUnavailable:
+	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable:
 		h.Draining = true
 		return h, nil
+	case resp.StatusCode < http.StatusInternalServerError:
+		return h, nil // A plain service may have no health page.
 	default:
 		return Health{}, errors.WithType(errors.Errorf("status %d", resp.StatusCode), ErrUnavailable)
 	}
@@ -168,6 +183,9 @@
 	out.URL.Host = c.address
 	out.Host = c.address
 	out.RequestURI = ""
+	if out.Close {
+		return c.once.Do(out)
+	}
 	return c.client.Do(out)
 }
 
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -74,6 +74,8 @@
 	CodeClaimsUnavailable Code = "claims_unavailable"
 	CodeCancelled         Code = "cancelled"
 	CodeBrokenAnswer      Code = "broken_answer"
+	CodeOutcomeUnknown    Code = "outcome_unknown"
+	CodeAnswerNotKept     Code = "answer_not_kept"
 )
 
 // Refusal is the typed answer to a request that got no result. It is an
@@ -85,7 +87,7 @@
 	Message    string          // One sentence for the caller; holds no key and no prompt.
 	RequestID  ident.RequestID // Request that was refused.
 	Ran        Ran             // Whether the request ran.
-	RetryAfter time.Duration   // Time to wait before asking again; 429 and 503 only.
+	RetryAfter time.Duration   // Time to wait before asking again; always sent with 429 and 503.
 }
 
 type body struct {
@@ -167,7 +169,10 @@
 }
 
 func (r *Refusal) needsRetryAfter() bool {
-	return r.Status == http.StatusTooManyRequests || r.Status == http.StatusServiceUnavailable
+	if r.Status == http.StatusTooManyRequests || r.Status == http.StatusServiceUnavailable {
+		return true
+	}
+	return r.RetryAfter > 0
 }
 
 func retryAfterSeconds(d time.Duration) string {
