--- /dev/null
+++ b/internal/entry/dispatch/fleet_test.go
@@ -0,0 +1,282 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/agent"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/gossip"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+	"github.com/hyssoptiller/hyssoptiller/internal/process"
+	enginestandin "github.com/hyssoptiller/hyssoptiller/internal/standin/engine"
+	servicestandin "github.com/hyssoptiller/hyssoptiller/internal/standin/service"
+)
+
+const (
+	timeout      = 20 * time.Second // Of each request.
+	storeTimeout = time.Second
+	settleTime   = 3 * time.Second // For starts and polls.
+)
+
+var security = transport.Security{Secret: "a-fleet-secret-of-tests"}
+
+// fleet is a dispatcher with agents and stand-ins, under deterministic time.
+type fleet struct {
+	t          *testing.T
+	net        *network
+	store      *store.Memory
+	notices    *gossip.Notices
+	dispatcher *dispatch.Dispatcher
+	nodes      []*node
+	services   []*servicestandin.Server
+	engines    []*enginestandin.Server
+
+	mu       sync.Mutex
+	rows     []vmlist.VM
+	observed []dispatch.Observation
+}
+
+// node is one agent with its endpoint's address.
+type node struct {
+	fleet    *fleet
+	vm       vmlist.VM
+	endpoint string
+	store    *severable
+	stop     context.CancelFunc
+	done     chan error
+}
+
+// run runs a test on a new fleet in a bubble of deterministic time.
+func run(t *testing.T, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, net: newNetwork(), store: store.NewMemory(), notices: gossip.NewNotices()}
+		f.dispatcher = f.newDispatcher()
+		defer f.close()
+		test(f)
+	})
+}
+
+func (f *fleet) newDispatcher() *dispatch.Dispatcher {
+	client, err := transport.NewClient(security, nil, f.net.dial)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return dispatch.New(dispatch.Options{Client: client, Endpoints: f, Notices: f.notices})
+}
+
+func (f *fleet) close() {
+	f.store.SetFault(store.FaultNone)
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	for _, n := range f.nodes {
+		<-n.done
+	}
+	f.net.cutAll()
+}
+
+// Candidates implements dispatch.Endpoints in the order of the rows.
+func (f *fleet) Candidates(job wire.Job) []vmlist.VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []vmlist.VM
+	for _, vm := range f.rows {
+		if vm.Service == job.Service {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// Observe implements dispatch.Endpoints.
+func (f *fleet) Observe(o dispatch.Observation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.observed = append(f.observed, o)
+}
+
+// addServices adds agents with instances of the booking service.
+func (f *fleet) addServices(n int) {
+	for range n {
+		s := servicestandin.NewServer()
+		f.services = append(f.services, s)
+		f.addNode(vmlist.VM{Role: vmlist.RolePlain, Service: "booking"}, s, nil)
+	}
+	f.settle()
+}
+
+// addEngines adds agents with engines.
+func (f *fleet) addEngines(n int, opts enginestandin.Options) {
+	for range n {
+		e := enginestandin.NewServer(opts)
+		f.engines = append(f.engines, e)
+		f.addNode(vmlist.VM{Role: vmlist.RoleEngine}, e, func(s *agent.Settings) { s.Slots = opts.Slots })
+	}
+	f.settle()
+}
+
+// settle lets starts, polls and background work finish.
+func (f *fleet) settle() {
+	time.Sleep(settleTime)
+	synctest.Wait()
+}
+
+func (f *fleet) addNode(vm vmlist.VM, endpoint http.Handler, change func(*agent.Settings)) *node {
+	i := len(f.nodes)
+	vm.ID = ident.VM(fmt.Sprintf("vm-%d", i))
+	vm.Address = fmt.Sprintf("agent-%d:1", i)
+	n := &node{fleet: f, vm: vm, endpoint: fmt.Sprintf("endpoint-%d:1", i), store: &severable{Store: f.store}}
+	server := &http.Server{Handler: endpoint}
+	go func() { _ = server.Serve(f.net.listen(n.endpoint)) }()
+	n.start(change)
+	f.nodes = append(f.nodes, n)
+	f.mu.Lock()
+	f.rows = append(f.rows, vm)
+	f.mu.Unlock()
+	return n
+}
+
+// start begins the node's agent process.
+func (n *node) start(change func(*agent.Settings)) {
+	settings := agent.Settings{
+		VM: n.vm.ID, EndpointAddress: n.endpoint, Capacity: 32, Security: security,
+		OrderTimeout: storeTimeout, DrainTimeout: timeout, StoreTimeout: storeTimeout,
+		MaxBodyBytes: 1 << 20, TimelineEvents: 64, ChecksFence: true,
+	}
+	if change != nil {
+		change(&settings)
+	}
+	a, err := agent.New(agent.Options{
+		Settings: settings, Store: n.store, Dial: n.fleet.net.dial,
+		FleetListener: n.fleet.net.listen(n.vm.Address), AdminListener: n.fleet.net.listen("admin-" + n.vm.Address),
+		Log: process.NewLogger(io.Discard, logrus.ErrorLevel, "test"),
+	})
+	if err != nil {
+		n.fleet.t.Fatal(err)
+	}
+	var ctx context.Context
+	ctx, n.stop = context.WithCancel(context.Background())
+	n.done = make(chan error, 1)
+	go func() { n.done <- a.Serve(ctx) }()
+}
+
+// kill takes everything from the agent at once, as the end of its process does.
+func (n *node) kill() {
+	n.store.severed.Store(true)
+	n.fleet.net.cut(n.vm.Address)
+	n.fleet.net.cut(n.endpoint)
+}
+
+// severable is a Store that a killed process no longer reaches. A hook sees
+// each write after it was carried out.
+type severable struct {
+	store.Store
+	severed atomic.Bool
+	before  func()
+	after   func()
+}
+
+// Get implements store.Store.
+func (s *severable) Get(ctx context.Context, key string) (store.Entry, error) {
+	if s.severed.Load() {
+		return store.Entry{}, store.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// CompareAndSwap implements store.Store.
+func (s *severable) CompareAndSwap(ctx context.Context, key string, value []byte, prev store.Index) (bool, error) {
+	if s.before != nil {
+		s.before()
+	}
+	if s.severed.Load() {
+		return false, store.ErrUnavailable
+	}
+	ok, err := s.Store.CompareAndSwap(ctx, key, value, prev)
+	if s.after != nil {
+		s.after()
+	}
+	return ok, err
+}
+
+// answer is what a caller got.
+type answer struct {
+	dispatch.Result
+	status int
+	header http.Header
+	body   string
+}
+
+func send(ctx context.Context, d *dispatch.Dispatcher, job wire.Job, body string) answer {
+	job.Request = ident.NewRequestID()
+	w := httptest.NewRecorder()
+	req := dispatch.Request{Job: job, Body: []byte(body), Deadline: time.Now().Add(timeout)}
+	result := d.Dispatch(ctx, req, w)
+	if result.Refusal != nil {
+		result.Refusal.Write(w)
+	}
+	return answer{Result: result, status: w.Code, header: w.Header(), body: w.Body.String()}
+}
+
+// deposit sends a deposit with an Idempotency-Key; none where key is empty.
+func (f *fleet) deposit(key string) answer {
+	return f.depositOf(key, `{"amount":5}`)
+}
+
+func (f *fleet) depositOf(key, body string) answer {
+	return send(f.t.Context(), f.dispatcher, depositJob(key), body)
+}
+
+func depositJob(key string) wire.Job {
+	return wire.Job{
+		Organisation: "smithy", Service: "booking", Method: http.MethodPost, Path: "/deposits",
+		ContentType: "application/json", IdempotencyKey: key, Weight: 1, Cost: 1,
+	}
+}
+
+// complete sends a completion.
+func (f *fleet) complete(stream bool, prompt string) answer {
+	body := fmt.Sprintf(`{"model":"syllabus@v1","max_tokens":4,"stream":%t,"prompt":%q}`, stream, prompt)
+	return send(f.t.Context(), f.dispatcher, completionJob(stream), body)
+}
+
+func completionJob(stream bool) wire.Job {
+	return wire.Job{
+		Organisation: "smithy", Adapter: "syllabus", Version: "v1", Method: http.MethodPost,
+		Path: "/v1/completions", ContentType: "application/json", Idempotent: true, Stream: stream, Weight: 1, Cost: 8,
+	}
+}
+
+// deposits returns how many deposits ran on all instances.
+func (f *fleet) deposits() int {
+	n := 0
+	for _, s := range f.services {
+		n += len(s.Deposits())
+	}
+	return n
+}
+
+// wantDeposits checks the count after all background work has ended.
+func (f *fleet) wantDeposits(want int) {
+	f.t.Helper()
+	f.settle()
+	if got := f.deposits(); got != want {
+		f.t.Errorf("%d deposits ran, want %d", got, want)
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -60,6 +60,9 @@
 	failLoads int
 	draining  bool
 	lostOrder int
+	breaks    int
+	breakAt   int
+	crosses   int
 	runs      []*Run
 	evictions []string
 }
@@ -124,6 +127,22 @@
 	s.draining = draining
 }
 
+// BreakAnswers makes the next n answers end after the given number of tokens:
+// a stream without its end mark, a plain answer short of its length.
+func (s *Server) BreakAnswers(n, tokens int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breaks = n
+	s.breakAt = tokens
+}
+
+// CrossAnswers makes the next n answers carry the id of another request.
+func (s *Server) CrossAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crosses = n
+}
+
 // Runs returns a copy of what ran so far.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
@@ -274,17 +293,40 @@
 		s.Restart()
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID))
+	w.Header().Set(platform.HeaderRequestID, s.echo(r))
+	breakAt := s.nextBreak()
 	if c.Stream {
-		s.stream(w, r, c, life)
+		s.stream(w, r, c, life, breakAt)
 	} else {
-		s.answer(w, r, c, life)
+		s.answer(w, r, c, life, breakAt)
 	}
 	s.mu.Lock()
 	run.Finished = true
 	s.mu.Unlock()
 }
 
+// echo returns the request's id, or another one where answers are crossed.
+func (s *Server) echo(r *http.Request) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crosses == 0 {
+		return r.Header.Get(platform.HeaderRequestID)
+	}
+	s.crosses--
+	return ident.NewToken(bootIDBytes)
+}
+
+// nextBreak returns the token at which the next answer ends, or -1.
+func (s *Server) nextBreak() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.breaks == 0 {
+		return -1
+	}
+	s.breaks--
+	return s.breakAt
+}
+
 func (s *Server) begin(r *http.Request, c completion, body []byte) (*Run, context.Context, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -309,9 +351,13 @@
 	}
 }
 
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, c completion, life context.Context) {
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, c completion, life context.Context, breakAt int) {
 	var text strings.Builder
 	for i := range c.MaxTokens {
+		if i == breakAt {
+			_, _ = io.WriteString(w, `{"choices":[{"text":"`+text.String())
+			panic(http.ErrAbortHandler)
+		}
 		if !wait(r.Context(), life, s.opts.TokenTime) {
 			panic(http.ErrAbortHandler)
 		}
@@ -320,10 +366,13 @@
 	writeJSON(w, http.StatusOK, s.result(r, c, text.String()))
 }
 
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, c completion, life context.Context) {
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, c completion, life context.Context, breakAt int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
 	for i := range c.MaxTokens {
+		if i == breakAt {
+			return
+		}
 		if !wait(r.Context(), life, s.opts.TokenTime) {
 			panic(http.ErrAbortHandler)
 		}
