--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/gossip"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
@@ -52,6 +53,7 @@
 	replica   *config.Replica
 	directory *directory.Directory
 	running   *running.Index
+	notices   *gossip.Notices
 	tree      *suture.Supervisor // What callers' requests rest on.
 	front     *suture.Supervisor // Callers' listener; ends first.
 }
@@ -70,6 +72,7 @@
 		replica:   config.NewReplica(config.ReplicaOptions{Store: opts.Store, Log: opts.Log, Timeline: ring}),
 		directory: directory.New(directory.Options{List: opts.VMList, Interval: s.VMListInterval, Log: opts.Log}),
 		running:   running.NewIndex(),
+		notices:   gossip.NewNotices(),
 		tree:      process.NewSupervisor("entry", opts.Log, s.DrainTimeout),
 		front:     process.NewSupervisor("entry front", opts.Log, s.DrainTimeout),
 	}
@@ -110,6 +113,8 @@
 			Metrics:   e.metrics.Scope,
 		}),
 		Timeline: e.ring,
+		Metrics:  e.metrics.Scope,
+		Notices:  e.notices,
 	})
 	return callers.NewHandler(callers.Options{
 		Config:       e.replica.Current,
