--- a/internal/agent/schedule/slots.go
+++ b/internal/agent/schedule/slots.go
@@ -37,7 +37,7 @@
 
 	mu    sync.Mutex
 	boot  ident.BootID
-	order sync.Mutex // Held while an order is with the engine.
+	order chan struct{} // Holds one element while an order is with the engine.
 	inUse map[engine.Resident]int
 	last  map[engine.Resident]time.Time
 }
@@ -47,6 +47,7 @@
 	return &Slots{
 		opts:  opts,
 		seats: make(chan struct{}, opts.Capacity),
+		order: make(chan struct{}, 1),
 		inUse: make(map[engine.Resident]int),
 		last:  make(map[engine.Resident]time.Time),
 	}
@@ -91,8 +92,12 @@
 	if s.take(build) {
 		return nil
 	}
-	s.order.Lock()
-	defer s.order.Unlock()
+	select {
+	case s.order <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-s.order }()
 	if s.take(build) {
 		return nil
 	}
