--- a/internal/proof/harness/endpoint.go
+++ b/internal/proof/harness/endpoint.go
@@ -68,7 +68,7 @@
 	holds   []*Hold
 	spoiled int
 	spoil   func(http.Header, []byte) []byte
-	onOrder func(path string)
+	onOrder []func(path string)
 }
 
 // Runs returns a copy of the requests that arrived, without orders.
@@ -85,11 +85,11 @@
 	return copies(e.orders)
 }
 
-// OnOrder calls f when an order arrives, before it is carried out.
+// OnOrder calls f whenever an order arrives, before it is carried out.
 func (e *Endpoint) OnOrder(f func(path string)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.onOrder = f
+	e.onOrder = append(e.onOrder, f)
 }
 
 // Spoil changes the next n answers by f, which gets the header and the whole
@@ -136,8 +136,8 @@
 	e.orders = append(e.orders, run)
 	notify := e.onOrder
 	e.mu.Unlock()
-	if notify != nil {
-		notify(run.Path)
+	for _, f := range notify {
+		f(run.Path)
 	}
 	e.handler.ServeHTTP(w, r)
 }
--- a/internal/proof/harness/fleet.go
+++ b/internal/proof/harness/fleet.go
@@ -33,7 +33,7 @@
 	fleetSecret    = "fleet-secret-of-the-test"
 	loadTime       = 250 * time.Millisecond
 	tokenTime      = 20 * time.Millisecond
-	requestTimeout = 30 * time.Second
+	RequestTimeout = 30 * time.Second // Longest time for one request.
 	callerTimeout  = 10 * time.Second // For a caller's body and its reading.
 	drainDelay     = time.Second
 	drainTimeout   = 10 * time.Second
@@ -323,7 +323,7 @@
 			Settings: entry.Settings{
 				VM: row.ID, FailureDomain: row.FailureDomain, Region: Region, OperatorsToken: OperatorsToken,
 				Security: transport.Security{Secret: fleetSecret}, MaxBodyBytes: maxBodyBytes,
-				RequestTimeout: requestTimeout, BodyTimeout: callerTimeout, WriteTimeout: callerTimeout,
+				RequestTimeout: RequestTimeout, BodyTimeout: callerTimeout, WriteTimeout: callerTimeout,
 				DrainDelay: drainDelay, DrainTimeout: drainTimeout, StoreTimeout: storeTimeout,
 				VMListInterval: vmListInterval, TimelineEvents: timelineEvents,
 			},
--- /dev/null
+++ b/internal/proof/matrix/matrix_test.go
@@ -0,0 +1,195 @@
+package matrix_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/proof/harness"
+)
+
+const secondFault = 100 * time.Millisecond // Between two faults of a pair.
+
+// cell is one combination that is run.
+type cell struct {
+	kind   kind
+	step   step
+	faults []fault // One, or two that come together or twice.
+}
+
+func (c cell) name() string {
+	names := make([]string, 0, len(c.faults))
+	for _, f := range c.faults {
+		names = append(names, f.name)
+	}
+	return fmt.Sprintf("%s/%s/%s", c.kind.name, strings.Join(names, " + "), c.step.name)
+}
+
+func (c cell) exists() bool {
+	for _, f := range c.faults {
+		if !f.has(c.kind) {
+			return false
+		}
+	}
+	return c.step.has(c.kind)
+}
+
+func (c cell) harmless() bool {
+	for _, f := range c.faults {
+		if f.harmless == nil || !f.harmless(c.kind) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c cell) gone() bool {
+	for _, f := range c.faults {
+		if f.gone {
+			return true
+		}
+	}
+	return false
+}
+
+// run runs the cell in its own bubble and returns what the caller saw.
+func (c cell) run(t *testing.T) string {
+	var outcome string
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, c.kind)
+		defer w.f.Stop()
+		c.faultless(w)
+		c.step.drive(w, func() { c.inject(w) })
+		subject := w.subjectAnswer()
+		outcome = outcomeOf(subject)
+		if c.harmless() && !subject.Whole() {
+			t.Errorf("a harmless fault cost the request its answer: %s", outcome)
+		}
+		c.again(w)
+		c.recover(w)
+		for _, p := range promises {
+			if broken := p.check(w); broken != "" {
+				t.Errorf("promise %q: %s", p.name, broken)
+			}
+		}
+	})
+	return outcome
+}
+
+func (c cell) faultless(w *world) {
+	for _, f := range c.faults {
+		if f.prepare != nil {
+			f.prepare(w)
+		}
+	}
+}
+
+func (c cell) inject(w *world) {
+	for i, f := range c.faults {
+		if i > 0 {
+			time.Sleep(secondFault)
+		}
+		f.inject(w)
+	}
+}
+
+// again has the caller of a keyed request send it once more, at the other
+// entry, whatever the first answer was.
+func (c cell) again(w *world) {
+	if c.kind.keyed {
+		w.send(w.t.Context(), c.kind, subjectOrg, "entry-2", subjectMarker)
+	}
+}
+
+// recover heals the faults; after a while the fleet serves as before.
+func (c cell) recover(w *world) {
+	for _, f := range c.faults {
+		if f.heal != nil {
+			f.heal(w)
+		}
+	}
+	time.Sleep(recoveryTime)
+	c.again(w)
+	for _, entry := range []string{"entry-1", "entry-2"} {
+		a := w.send(w.t.Context(), c.kind, subjectOrg, entry, "after-"+entry)
+		if a.Whole() == (c.gone() && !c.kind.open) {
+			w.t.Errorf("after recovery %s: %s", entry, outcomeOf(a))
+		}
+		n := w.send(w.t.Context(), kinds[0], neighbourOrg, entry, "neighbour-"+entry)
+		if !n.Whole() {
+			w.t.Errorf("neighbour after recovery %s: %s", entry, outcomeOf(n))
+		}
+	}
+}
+
+func (w *world) subjectAnswer() harness.Answer {
+	for _, s := range w.sentCalls() {
+		if s.marker == subjectMarker {
+			return s.answer
+		}
+	}
+	w.t.Fatal("the subject was not sent")
+	return harness.Answer{}
+}
+
+// outcomeOf says in few words what a caller saw.
+func outcomeOf(a harness.Answer) string {
+	switch {
+	case a.Whole():
+		return "answered"
+	case a.Ran() != "":
+		return fmt.Sprintf("%s, ran %s", a.Code(), a.Ran())
+	case strings.Contains(fmt.Sprint(a.Err), context.Canceled.Error()):
+		return "caller left"
+	case a.Err != nil && a.Status == 0:
+		return "cut before a byte"
+	case a.Err != nil:
+		return "cut mid-answer"
+	default:
+		return "broken off, told so"
+	}
+}
+
+// outcomes collects what callers saw, by cell.
+type outcomes struct {
+	mu   sync.Mutex
+	seen map[string]string
+}
+
+func (o *outcomes) add(name, outcome string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.seen[name] = outcome
+}
+
+func singles() []cell {
+	var out []cell
+	for _, k := range kinds {
+		for _, f := range faults {
+			for _, s := range steps {
+				c := cell{kind: k, step: s, faults: []fault{f}}
+				if c.exists() {
+					out = append(out, c)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// TestMatrix runs every fault at every step of every kind of route.
+func TestMatrix(t *testing.T) {
+	seen := &outcomes{seen: make(map[string]string)}
+	t.Run("cells", func(t *testing.T) {
+		for _, c := range singles() {
+			t.Run(c.name(), func(t *testing.T) {
+				t.Parallel()
+				seen.add(c.name(), c.run(t))
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/proof/matrix/steps_test.go
@@ -0,0 +1,118 @@
+package matrix_test
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/proof/harness"
+)
+
+const (
+	subjectMarker = "subject-1"
+	stepTimeout   = 5 * time.Second
+	beforeSend    = 10 * time.Millisecond
+	queueTime     = 500 * time.Millisecond
+	loadingTime   = 100 * time.Millisecond
+)
+
+// step is a moment in the life of the subject's request.
+type step struct {
+	name  string
+	drive func(w *world, inject func()) // Sends the subject and injects at the moment.
+	only  func(k kind) bool             // Nil where every kind has the step.
+}
+
+var steps = []step{
+	{name: "before admission", drive: driveBefore},
+	{name: "queued", drive: driveQueued},
+	{name: "loading", drive: driveLoading, only: func(k kind) bool { return k.engine }},
+	{name: "running, no byte yet", drive: driveAt(harness.PointArrived)},
+	{name: "mid-answer", drive: driveAt(harness.PointMidAnswer)},
+	{name: "after the answer", drive: driveAfter},
+}
+
+func (s step) has(k kind) bool { return s.only == nil || s.only(k) }
+
+// subject starts the subject's call at entry-1.
+func (w *world) subject() <-chan harness.Answer {
+	ctx, cancel := context.WithCancel(w.t.Context())
+	w.callerGone = cancel
+	c := w.call(w.kind, subjectOrg, "entry-1", subjectMarker)
+	if w.crash {
+		c.Body = strings.Replace(c.Body, subjectMarker, subjectMarker+" "+crashMarker, 1)
+	}
+	out := make(chan harness.Answer, 1)
+	go func() {
+		out <- w.sendCall(ctx, w.kind, subjectOrg, subjectMarker, c)
+		cancel()
+	}()
+	return out
+}
+
+// warm has the subject's adapter resident and connections open.
+func (w *world) warm() {
+	if w.cold {
+		return
+	}
+	w.send(w.t.Context(), w.kind, subjectOrg, "entry-1", "warm-1")
+}
+
+func driveBefore(w *world, inject func()) {
+	w.warm()
+	inject()
+	time.Sleep(beforeSend)
+	<-w.subject()
+}
+
+func driveQueued(w *world, inject func()) {
+	w.warm()
+	hold := w.occupyAll()
+	answer := w.subject()
+	time.Sleep(queueTime)
+	inject()
+	time.Sleep(w.holdFor)
+	hold.Release()
+	<-answer
+}
+
+func driveLoading(w *world, inject func()) {
+	ordered := make(chan struct{}, 16)
+	for _, vm := range w.f.Names("engine-") {
+		w.f.Endpoints[vm].OnOrder(func(string) { ordered <- struct{}{} })
+	}
+	answer := w.subject()
+	await(ordered)
+	time.Sleep(loadingTime)
+	inject()
+	<-answer
+}
+
+func driveAt(p harness.Point) func(*world, func()) {
+	return func(w *world, inject func()) {
+		w.warm()
+		hold := w.f.Hold(subjectMarker, p)
+		answer := w.subject()
+		await(hold.Reached)
+		inject()
+		time.Sleep(w.holdFor)
+		hold.Release()
+		<-answer
+	}
+}
+
+func driveAfter(w *world, inject func()) {
+	<-w.subject()
+	inject()
+	time.Sleep(beforeSend)
+	w.send(w.t.Context(), w.kind, subjectOrg, "entry-2", "next-1")
+}
+
+func await(c <-chan struct{}) {
+	timer := time.NewTimer(stepTimeout)
+	defer timer.Stop()
+	select {
+	case <-c:
+	case <-timer.C:
+	}
+}
