--- a/internal/proof/harness/endpoint.go
+++ b/internal/proof/harness/endpoint.go
@@ -145,10 +145,9 @@
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request, run *Run) {
 	e.mu.Lock()
 	e.runs = append(e.runs, run)
-	spoil := e.takeSpoil()
 	e.mu.Unlock()
 	e.wait(r, run, PointArrived)
-	out := &recorder{ResponseWriter: w, endpoint: e, run: run, request: r, spoil: spoil}
+	out := &recorder{ResponseWriter: w, endpoint: e, run: run, request: r, spoil: e.takeSpoil()}
 	e.handler.ServeHTTP(out, r)
 	out.finish()
 	e.mu.Lock()
@@ -157,6 +156,8 @@
 }
 
 func (e *Endpoint) takeSpoil() func(http.Header, []byte) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.spoiled == 0 {
 		return nil
 	}
--- a/internal/proof/matrix/steps_test.go
+++ b/internal/proof/matrix/steps_test.go
@@ -70,6 +70,9 @@
 	hold := w.occupyAll()
 	answer := w.subject()
 	time.Sleep(queueTime)
+	if len(answer) > 0 || len(w.f.Runs(subjectMarker)) > 0 {
+		w.t.Error("the subject did not queue")
+	}
 	inject()
 	time.Sleep(w.holdFor)
 	hold.Release()
@@ -82,7 +85,7 @@
 		w.f.Endpoints[vm].OnOrder(func(string) { ordered <- struct{}{} })
 	}
 	answer := w.subject()
-	await(ordered)
+	w.await(ordered)
 	time.Sleep(loadingTime)
 	inject()
 	<-answer
@@ -93,7 +96,7 @@
 		w.warm()
 		hold := w.f.Hold(subjectMarker, p)
 		answer := w.subject()
-		await(hold.Reached)
+		w.await(hold.Reached)
 		inject()
 		time.Sleep(w.holdFor)
 		hold.Release()
@@ -108,11 +111,13 @@
 	w.send(w.t.Context(), w.kind, subjectOrg, "entry-2", "next-1")
 }
 
-func await(c <-chan struct{}) {
+// await waits until the subject has come to its step.
+func (w *world) await(c <-chan struct{}) {
 	timer := time.NewTimer(stepTimeout)
 	defer timer.Stop()
 	select {
 	case <-c:
 	case <-timer.C:
+		w.t.Error("the subject did not come to the step")
 	}
 }
