Time line of the whole fleet: RPC on each process, gathered by an entry, hyssopctl timeline

Cause: an entry showed its own events only, so a request's way over the agents could not be read. Conclusion: merged order, bounds and the silent are tested; FuzzParse reads only what String writes.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -72,6 +72,7 @@
 	})
 	router := chi.NewRouter()
 	router.Method("POST", wire.PathRun, a.intake)
+	router.Mount(timeline.Path, timeline.NewHandler(a.ring))
 	fleet, err := transport.NewServer(s.Security, clock, router)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -16,7 +16,6 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
-	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
@@ -115,13 +114,6 @@
 	return out, err
 }
 
-// Timeline returns the events of the fleet.
-func (c *Client) Timeline(ctx context.Context) ([]timeline.Event, error) {
-	var out []timeline.Event
-	err := c.json(ctx, http.MethodGet, "/timeline", &out)
-	return out, err
-}
-
 func (c *Client) json(ctx context.Context, method, path string, out any) error {
 	data, _, err := c.call(ctx, method, path, nil, nil)
 	if err != nil {
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -45,6 +45,7 @@
 	addLists,
 	addKeys,
 	addStatus,
+	addTimeline,
 	addTLS,
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
@@ -15,6 +16,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/admission"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/callers"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/gather"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
@@ -83,14 +85,14 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	fleet, err := transport.NewServer(s.Security, e.clock, http.NotFoundHandler())
+	fleet, err := transport.NewServer(s.Security, e.clock, e.fleetHandler())
 	if err != nil {
 		return errors.Trace(err)
 	}
 	e.tree.Add(e.replica)
 	e.tree.Add(e.directory)
 	e.tree.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
-	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(), time.Second))
+	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(client), time.Second))
 	e.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: e.opts.FleetListener, Grace: s.DrainTimeout})
 	admin := process.AdminHandler(e.ready, e.metrics)
 	e.tree.Add(process.NewHTTPServer("admin", e.opts.AdminListener, admin, time.Second))
@@ -119,11 +121,18 @@
 	})
 }
 
-func (e *Entry) operatorsHandler() http.Handler {
+// fleetHandler serves the other processes of the fleet.
+func (e *Entry) fleetHandler() http.Handler {
+	router := chi.NewRouter()
+	router.Mount(timeline.Path, timeline.NewHandler(e.ring))
+	return router
+}
+
+func (e *Entry) operatorsHandler(client *transport.Client) http.Handler {
 	return operators.NewHandler(operators.Options{
 		Editor:   config.NewEditor(e.opts.Store),
 		Config:   e.replica.Current,
-		Timeline: e.ring,
+		Timeline: gather.NewHandler(gather.Options{VM: e.opts.Settings.VM, Ring: e.ring, Client: client, Directory: e.directory}),
 		Token:    e.opts.Settings.OperatorsToken,
 	})
 }
--- a/internal/entry/operators/operators.go
+++ b/internal/entry/operators/operators.go
@@ -13,7 +13,6 @@
 	"github.com/juju/errors"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
-	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
@@ -28,8 +27,8 @@
 type Options struct {
 	Editor   *config.Editor
 	Config   func() *config.Snapshot
-	Timeline *timeline.Ring
-	Token    string // Credential that operators show as a bearer token.
+	Timeline http.Handler // Serves the events of the fleet.
+	Token    string       // Credential that operators show as a bearer token.
 }
 
 type handler struct {
@@ -47,7 +46,7 @@
 	router.Get("/keys/{organisation}", h.listKeys)
 	router.Post("/keys/{organisation}", h.grant)
 	router.Delete("/keys/{organisation}/{hash}", h.withdraw)
-	router.Get("/timeline", h.timeline)
+	router.Method(http.MethodGet, "/timeline", opts.Timeline)
 	router.Get("/status", h.status)
 	return router
 }
@@ -178,10 +177,6 @@
 	writeJSON(w, http.StatusOK, revisionBody{revision})
 }
 
-func (h *handler) timeline(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, h.opts.Timeline.Events())
-}
-
 func (h *handler) status(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, Status{Revision: h.opts.Config().Revision()})
 }
--- a/internal/fleet/hlc/hlc.go
+++ b/internal/fleet/hlc/hlc.go
@@ -6,7 +6,9 @@
 package hlc
 
 import (
-	"fmt"
+	"math"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +23,9 @@
 // drag the others along.
 const MaxAhead = 10 * time.Minute
 
+// textBytes holds the longest text of a timestamp.
+const textBytes = 32
+
 // ErrFormat says that a text is no timestamp.
 const ErrFormat = errors.ConstError("malformed timestamp")
 
@@ -46,14 +51,27 @@
 
 // String returns the form that Parse reads.
 func (t Timestamp) String() string {
-	return fmt.Sprintf("%d.%d", t.Wall, t.Logical)
+	buf := strconv.AppendInt(make([]byte, 0, textBytes), t.Wall, 10)
+	buf = append(buf, '.')
+	return string(strconv.AppendUint(buf, uint64(t.Logical), 10))
 }
 
 // Parse reads the form that String returns, or returns ErrFormat.
 func Parse(text string) (Timestamp, error) {
-	var t Timestamp
-	n, err := fmt.Sscanf(text, "%d.%d", &t.Wall, &t.Logical)
-	if err != nil || n != 2 || t.Wall < 0 {
+	wallText, logicalText, ok := strings.Cut(text, ".")
+	if !ok {
+		return Timestamp{}, ErrFormat
+	}
+	wall, err := strconv.ParseInt(wallText, 10, 64)
+	if err != nil || wall < 0 {
+		return Timestamp{}, ErrFormat
+	}
+	logical, err := strconv.ParseUint(logicalText, 10, 32)
+	if err != nil {
+		return Timestamp{}, ErrFormat
+	}
+	t := Timestamp{Wall: wall, Logical: uint32(logical)}
+	if t.String() != text {
 		return Timestamp{}, ErrFormat
 	}
 	return t, nil
@@ -100,5 +118,9 @@
 		c.last = Timestamp{Wall: wall}
 		return
 	}
+	if c.last.Logical == math.MaxUint32 {
+		c.last = Timestamp{Wall: c.last.Wall + 1}
+		return
+	}
 	c.last.Logical++
 }
--- a/internal/fleet/timeline/timeline.go
+++ b/internal/fleet/timeline/timeline.go
@@ -1,10 +1,14 @@
 // Package timeline records typed events of one process in a bounded ring.
 //
 // Events carry a hybrid logical clock's timestamp, so that the rings of all
-// processes merge into one order. An event holds no key and no prompt text.
+// processes merge into one order: Gatherer asks each process for its ring
+// through the RPC that NewHandler serves. An event holds no key and no prompt
+// text; texts that come from callers are bounded.
 package timeline
 
 import (
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
@@ -16,16 +20,16 @@
 
 // Kinds of events.
 const (
-	KindProcessStarted   Kind = "process_started"
-	KindProcessDraining  Kind = "process_draining"
-	KindRequestAdmitted  Kind = "request_admitted"
-	KindRequestRefused   Kind = "request_refused"
-	KindRequestSent      Kind = "request_sent"
-	KindRequestRetried   Kind = "request_retried"
-	KindRequestQueued    Kind = "request_queued"
-	KindRequestRunning   Kind = "request_running"
-	KindRequestFinished  Kind = "request_finished"
-	KindRequestCut       Kind = "request_cut"
+	KindProcessStarted   Kind = "process_started"  // A process began to serve.
+	KindProcessDraining  Kind = "process_draining" // A process takes no new work and finishes the rest.
+	KindRequestAdmitted  Kind = "request_admitted" // An entry took a request on: key, plan and limit were in order.
+	KindRequestRefused   Kind = "request_refused"  // A caller or an entry got a refusal; the detail is its code.
+	KindRequestSent      Kind = "request_sent"     // An entry sent an attempt to an endpoint's agent.
+	KindRequestRetried   Kind = "request_retried"  // An entry gave an attempt up and tries elsewhere; the detail says why.
+	KindRequestQueued    Kind = "request_queued"   // An agent has an attempt wait for its turn.
+	KindRequestRunning   Kind = "request_running"  // An agent sent an attempt to its endpoint.
+	KindRequestFinished  Kind = "request_finished" // The whole answer was passed on.
+	KindRequestCut       Kind = "request_cut"      // A request was ended while it ran; the detail says why.
 	KindAdapterLoaded    Kind = "adapter_loaded"
 	KindAdapterUnloaded  Kind = "adapter_unloaded"
 	KindAdapterFailed    Kind = "adapter_load_failed"
@@ -45,6 +49,47 @@
 	KindAnswerDropped    Kind = "answer_dropped"
 )
 
+// Kinds returns all kinds of events.
+func Kinds() []Kind {
+	return []Kind{
+		KindProcessStarted,
+		KindProcessDraining,
+		KindRequestAdmitted,
+		KindRequestRefused,
+		KindRequestSent,
+		KindRequestRetried,
+		KindRequestQueued,
+		KindRequestRunning,
+		KindRequestFinished,
+		KindRequestCut,
+		KindAdapterLoaded,
+		KindAdapterUnloaded,
+		KindAdapterFailed,
+		KindEngineRestarted,
+		KindRevisionInForce,
+		KindStoreLost,
+		KindStoreBack,
+		KindKeyWithdrawn,
+		KindShareMoved,
+		KindMemberJoined,
+		KindMemberGone,
+		KindQuarantined,
+		KindClaimed,
+		KindClaimReplayed,
+		KindFenceTaken,
+		KindEndpointDraining,
+		KindAnswerDropped,
+	}
+}
+
+// Known reports whether k is one of Kinds.
+func (k Kind) Known() bool {
+	return slices.Contains(Kinds(), k)
+}
+
+// MaxDetailBytes bounds an event's detail; a longer one is cut.
+const MaxDetailBytes = 256
+
 // Event is one thing that happened in one process.
 type Event struct {
 	Time         hlc.Timestamp      `json:"time"`
@@ -82,6 +127,7 @@
 	if r == nil {
 		return
 	}
+	e.Detail = strings.ToValidUTF8(e.Detail[:min(len(e.Detail), MaxDetailBytes)], "")
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e.Time = r.clock.Now()
