--- a/internal/proof/harness/endpoint.go
+++ b/internal/proof/harness/endpoint.go
@@ -68,7 +68,7 @@
 	holds   []*Hold
 	spoiled int
 	spoil   func(http.Header, []byte) []byte
-	onOrder []func(path string)
+	onOrder []func(Run)
 }
 
 // Runs returns a copy of the requests that arrived, without orders.
@@ -86,7 +86,7 @@
 }
 
 // OnOrder calls f whenever an order arrives, before it is carried out.
-func (e *Endpoint) OnOrder(f func(path string)) {
+func (e *Endpoint) OnOrder(f func(Run)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.onOrder = append(e.onOrder, f)
@@ -137,7 +137,7 @@
 	notify := e.onOrder
 	e.mu.Unlock()
 	for _, f := range notify {
-		f(run.Path)
+		f(*run)
 	}
 	e.handler.ServeHTTP(w, r)
 }
--- a/internal/proof/matrix/faults_test.go
+++ b/internal/proof/matrix/faults_test.go
@@ -10,6 +10,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/engine"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
+	"github.com/hyssoptiller/hyssoptiller/internal/proof/harness"
 )
 
 const (
@@ -76,12 +77,17 @@
 	w.onNextLoad(func(vm string) { w.f.Endpoints[vm].Engine.LoseOrderAnswers(1) })
 }
 
-// onNextLoad calls f with the engine that gets the next order.
+// onNextLoad calls f with the engine that is next told to load the subject's
+// adapter, which is then not loaded ahead.
 func (w *world) onNextLoad(f func(vm string)) {
 	w.cold = true
 	var once sync.Once
 	for _, vm := range w.f.Names("engine-") {
-		w.f.Endpoints[vm].OnOrder(func(string) { once.Do(func() { f(vm) }) })
+		w.f.Endpoints[vm].OnOrder(func(order harness.Run) {
+			if order.Contains(adapterOf(subjectOrg)) {
+				once.Do(func() { f(vm) })
+			}
+		})
 	}
 }
 
--- a/internal/proof/matrix/steps_test.go
+++ b/internal/proof/matrix/steps_test.go
@@ -80,10 +80,8 @@
 }
 
 func driveLoading(w *world, inject func()) {
-	ordered := make(chan struct{}, 16)
-	for _, vm := range w.f.Names("engine-") {
-		w.f.Endpoints[vm].OnOrder(func(string) { ordered <- struct{}{} })
-	}
+	ordered := make(chan struct{})
+	w.onNextLoad(func(string) { close(ordered) })
 	answer := w.subject()
 	w.await(ordered)
 	time.Sleep(loadingTime)
