Placement expects an unknown build on the adapter's first endpoints

Change: an unknown build is expected on the first endpoints of the list; the extra time of requests that waited for a load is measured and charged to the other endpoints; lists grow by the time of requests that did not wait; a refusal makes an endpoint less preferred for a short time instead of forgetting what it holds. Also: the test of slots found that a list taken just before a change was believed; mended.

--- a/cmd/hyssop-load/main.go
+++ b/cmd/hyssop-load/main.go
@@ -9,13 +9,16 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/endpoints"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
 const exitFailure = 1
 
 // experiments are the sub-commands.
-var experiments = []experiment.Experiment{}
+var experiments = []experiment.Experiment{
+	endpoints.Experiment,
+}
 
 func main() {
 	app := kingpin.New("hyssop-load", "Measures a hyssoptiller fleet and its decisions.")
--- a/internal/agent/schedule/service.go
+++ b/internal/agent/schedule/service.go
@@ -95,8 +95,8 @@
 	s := &Service{
 		opts:    opts,
 		metrics: newMetrics(opts.Metrics),
-		queue:   fairqueue.New(queueConfig(opts)),
-		machine: slots.New(slotsConfig(opts)),
+		queue:   fairqueue.New(QueueConfig(opts.Capacity)),
+		machine: slots.New(SlotsConfig(opts.Slots)),
 		waiters: make(map[fairqueue.ID]*waiter),
 		turns:   make(map[ident.AttemptID]*turn),
 	}
@@ -104,10 +104,12 @@
 	return s
 }
 
-func queueConfig(opts Options) fairqueue.Config {
+// QueueConfig returns the settings of the queue before an endpoint that runs
+// capacity attempts at once.
+func QueueConfig(capacity int) fairqueue.Config {
 	return fairqueue.Config{
-		MaxItems:     queuedPerTurn * opts.Capacity,
-		Concurrency:  opts.Capacity,
+		MaxItems:     queuedPerTurn * capacity,
+		Concurrency:  capacity,
 		AgingStep:    agingStep,
 		MaxBypass:    maxBypass,
 		MaxLead:      maxLeadTokens,
@@ -116,9 +118,10 @@
 	}
 }
 
-func slotsConfig(opts Options) slots.Config {
+// SlotsConfig returns the settings for an engine that holds count builds.
+func SlotsConfig(count int) slots.Config {
 	return slots.Config{
-		Slots:          opts.Slots,
+		Slots:          count,
 		MaxLoads:       maxLoads,
 		FailureBackoff: failureBackoff,
 		MaxBackoff:     maxBackoff,
--- a/internal/entry/endpoints/endpoints.go
+++ b/internal/entry/endpoints/endpoints.go
@@ -34,6 +34,7 @@
 
 	mu     sync.Mutex
 	placer *placement.Placer
+	open   map[ident.AttemptID]bool // Attempts that were sent, and whether the build was resident.
 	view   *directory.View
 	vms    map[ident.VM]vmlist.VM
 }
@@ -44,6 +45,7 @@
 		opts:    opts,
 		metrics: newMetrics(opts.Metrics),
 		placer:  placement.New(opts.Placement),
+		open:    make(map[ident.AttemptID]bool),
 	}
 }
 
@@ -83,30 +85,48 @@
 	return out
 }
 
-// Observe implements dispatch.Endpoints.
+// Observe implements dispatch.Endpoints. Of an attempt that was not reported as
+// sent, or that has ended already, nothing is learned.
 func (c *Chooser) Observe(o dispatch.Observation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	job := placementJob(o.Job)
-	load := placement.Load{Running: o.Load.Running, Capacity: o.Load.Capacity, Queued: o.Load.Queued}
-	switch o.Outcome {
-	case dispatch.OutcomeSent:
+	attempt := o.Job.Attempt
+	if o.Outcome == dispatch.OutcomeSent {
+		c.open[attempt] = false
 		c.placer.Sent(o.VM)
-	case dispatch.OutcomeAnswer:
+		return
+	}
+	resident, ok := c.open[attempt]
+	if !ok {
+		return
+	}
+	if o.Outcome == dispatch.OutcomeAnswer {
+		c.open[attempt] = o.Load.Resident
 		c.countResidency(o)
-		c.placer.Answered(now, o.VM, job, o.Boot, load)
+		c.placer.Answered(time.Now(), o.VM, placementJob(o.Job), o.Boot, placementLoad(o.Load))
+		return
+	}
+	delete(c.open, attempt)
+	c.ended(o, resident)
+}
+
+func (c *Chooser) ended(o dispatch.Observation, resident bool) {
+	switch o.Outcome {
 	case dispatch.OutcomeDone:
-		c.placer.Done(o.VM, o.Elapsed)
+		c.placer.Done(o.VM, o.Elapsed, resident)
 	case dispatch.OutcomeRefused:
 		c.metrics.refused.Inc(1)
-		c.placer.Refused(now, o.VM, job, load)
-	case dispatch.OutcomeFailed:
+		c.placer.Refused(time.Now(), o.VM, placementJob(o.Job), placementLoad(o.Load))
+	default:
 		c.metrics.failed.Inc(1)
-		c.placer.Failed(now, o.VM)
+		c.placer.Failed(time.Now(), o.VM)
 	}
 }
 
+func placementLoad(l wire.Load) placement.Load {
+	return placement.Load{Running: l.Running, Capacity: l.Capacity, Queued: l.Queued}
+}
+
 func (c *Chooser) countResidency(o dispatch.Observation) {
 	if o.Job.Adapter == "" {
 		return
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -46,10 +46,7 @@
 }
 
 func (p *Placer) elapsed(pool *pool) float64 {
-	if pool.elapsed == 0 {
-		return p.config.DefaultElapsed.Seconds()
-	}
-	return pool.elapsed
+	return pool.resident.read(p.config.DefaultElapsed.Seconds())
 }
 
 func (p *Placer) capacity(pool *pool) int {
@@ -90,6 +87,7 @@
 			break
 		}
 		r := ranked{node: n, held: n.held(now), delay: p.delay(now, pool, job, a, n)}
+		r.delay += p.loadDelay(now, pool, job, a, n, i < length)
 		out = append(out, r)
 	}
 	sort.SliceStable(out, func(i, j int) bool {
@@ -110,9 +108,6 @@
 	attempts := n.attempts(now, p.config.LoadHalfLife)
 	queued := math.Max(attempts-capacity+1, 0)
 	delay := queued / capacity * p.elapsed(pool)
-	if !a.holds(now, n, job.Version, p.config.ResidentFor) {
-		delay += p.config.LoadDelay.Seconds()
-	}
 	if h, ok := p.prefixes.get(job.Prefix); job.Prefix != 0 && ok && h.node == n && h.boot == n.boot {
 		delay -= p.config.PrefixGain.Seconds()
 	}
@@ -122,13 +117,34 @@
 // busyDelay is the time that a request loses to the others of a full batch.
 const busyDelay = 500 * time.Millisecond
 
-func (a *adapter) holds(now time.Time, n *node, version ident.Version, trust time.Duration) bool {
+// loadDelay estimates the wait for the build. An entry that does not know where
+// the build is expects it on the adapter's first endpoints, where the other
+// entries send its requests.
+func (p *Placer) loadDelay(now time.Time, pool *pool, job Job, a *adapter, n *node, first bool) float64 {
+	h, known := a.holding(n, job.Version)
+	delay := pool.loadDelay(p.config.LoadDelay).Seconds()
+	switch {
+	case known && h.avoidUntil.After(now):
+		return 2 * delay
+	case known && h.boot == n.boot && now.Sub(h.seen) < p.config.ResidentFor:
+		return 0
+	case first:
+		return delay * firstEndpointDoubt
+	}
+	return delay
+}
+
+// firstEndpointDoubt is the share of a load's delay that is expected on one of
+// an adapter's first endpoints while nothing is known of its residency.
+const firstEndpointDoubt = 0.5
+
+func (a *adapter) holding(n *node, version ident.Version) (holding, bool) {
 	for _, h := range a.holdings {
 		if h.node == n && h.version == version {
-			return h.boot == n.boot && now.Sub(h.seen) < trust
+			return h, true
 		}
 	}
-	return false
+	return holding{}, false
 }
 
 // leastOutstanding orders the instances of a plain service by their attempts;
--- a/internal/policy/placement/node.go
+++ b/internal/policy/placement/node.go
@@ -80,3 +80,28 @@
 func (d *decaying) perSecond(now time.Time, halfLife time.Duration) float64 {
 	return d.decayed(now, halfLife) * math.Ln2 / halfLife.Seconds()
 }
+
+// smoothed is an exponentially weighted mean.
+type smoothed struct {
+	mean  float64
+	known bool
+}
+
+// newestWeight is the weight of the newest value in a smoothed mean.
+const newestWeight = 0.05
+
+func (s *smoothed) add(value float64) {
+	if !s.known {
+		s.mean, s.known = value, true
+		return
+	}
+	s.mean += newestWeight * (value - s.mean)
+}
+
+// read returns the mean, or unknown while no value was added.
+func (s *smoothed) read(unknown float64) float64 {
+	if !s.known {
+		return unknown
+	}
+	return s.mean
+}
--- a/internal/policy/placement/observe.go
+++ b/internal/policy/placement/observe.go
@@ -6,9 +6,6 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
-// elapsedWeight is the weight of the newest request in the smoothed time.
-const elapsedWeight = 0.05
-
 // Sent tells that an attempt was sent. It is followed by one of Done, Refused
 // and Failed, with Answered before it where the endpoint answered.
 func (p *Placer) Sent(vm ident.VM) {
@@ -37,8 +34,9 @@
 	}
 }
 
-// Done tells that the whole answer was passed on.
-func (p *Placer) Done(vm ident.VM, elapsed time.Duration) {
+// Done tells that the whole answer was passed on, after the given time since
+// the attempt was sent, and whether the build was resident when it arrived.
+func (p *Placer) Done(vm ident.VM, elapsed time.Duration, resident bool) {
 	n, ok := p.nodes[vm]
 	if !ok {
 		return
@@ -48,15 +46,15 @@
 	if !ok {
 		return
 	}
-	if pool.elapsed == 0 {
-		pool.elapsed = elapsed.Seconds()
+	if resident {
+		pool.resident.add(elapsed.Seconds())
 		return
 	}
-	pool.elapsed += elapsedWeight * (elapsed.Seconds() - pool.elapsed)
+	pool.loaded.add(elapsed.Seconds())
 }
 
-// Refused tells that the agent refused an attempt and nothing ran. The build
-// is not believed to be resident there.
+// Refused tells that the agent refused an attempt and nothing ran. For a short
+// time the endpoint is not preferred for the build.
 func (p *Placer) Refused(now time.Time, vm ident.VM, job Job, load Load) {
 	n, ok := p.nodes[vm]
 	if !ok {
@@ -64,9 +62,13 @@
 	}
 	n.own = max(n.own-1, 0)
 	n.report(now, load)
-	if job.Adapter != "" {
-		p.adapter(job).drop(n, job.Version)
+	if job.Adapter == "" {
+		return
 	}
+	a := p.adapter(job)
+	h, _ := a.holding(n, job.Version)
+	h.node, h.version, h.avoidUntil = n, job.Version, now.Add(p.config.Holdback)
+	a.hold(h)
 }
 
 // Failed tells that the agent or endpoint failed or did not answer. It is held
@@ -101,12 +103,3 @@
 	}
 	a.holdings[oldest] = h
 }
-
-func (a *adapter) drop(n *node, version ident.Version) {
-	for i, known := range a.holdings {
-		if known.node == n && known.version == version {
-			a.holdings = append(a.holdings[:i], a.holdings[i+1:]...)
-			return
-		}
-	}
-}
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -48,7 +48,7 @@
 	LoadHalfLife    time.Duration // In which the trust in a reported load halves.
 	ResidentFor     time.Duration // For which a build that ran is believed to stay resident.
 	TargetBusy      float64       // Share of an endpoint's capacity that one adapter is to fill before it gets another.
-	LoadDelay       time.Duration // Expected delay where the build is not resident.
+	LoadDelay       time.Duration // Least delay that is expected where the build is not resident.
 	PrefixGain      time.Duration // Expected gain where the prefix was served.
 	DefaultCapacity int           // Of an endpoint that has not reported.
 	DefaultElapsed  time.Duration // Of a request while none was measured.
@@ -62,12 +62,13 @@
 	adapter ident.Adapter
 }
 
-// holding says that a node ran a build and so has had it resident.
+// holding is what is known of one build on one node.
 type holding struct {
-	node    *node
-	version ident.Version
-	boot    ident.BootID
-	seen    time.Time
+	node       *node
+	version    ident.Version
+	boot       ident.BootID
+	seen       time.Time // Zero where it has not run it.
+	avoidUntil time.Time // After the node refused it.
 }
 
 // adapter is what is remembered of one adapter.
@@ -92,7 +93,15 @@
 type pool struct {
 	nodes      []*node
 	generation uint64
-	elapsed    float64 // Seconds of a request, smoothed; 0 while none was measured.
+	resident   smoothed // Seconds of a request whose build was resident.
+	loaded     smoothed // Seconds of a request that waited for a load.
+}
+
+// loadDelay returns how much longer requests take that wait for a load, at
+// least floor.
+func (p *pool) loadDelay(floor time.Duration) time.Duration {
+	extra := p.loaded.read(0) - p.resident.read(0)
+	return max(time.Duration(extra*float64(time.Second)), floor)
 }
 
 // New returns a Placer without endpoints.
--- a/internal/policy/slots/answers.go
+++ b/internal/policy/slots/answers.go
@@ -115,10 +115,7 @@
 // whose state has changed since the list was asked for.
 func (m *Machine) settle(now time.Time, list OrderID, b Build, held bool) {
 	e := m.entries[b]
-	if e.order != 0 {
-		return
-	}
-	if e.changed > list {
+	if e.changed >= list {
 		m.listAgain = m.listAgain || e.state == StateUnknown
 		return
 	}
@@ -130,6 +127,7 @@
 	m.forget(b)
 }
 
+// settleKnown believes a list about builds without an order in flight.
 func (m *Machine) settleKnown(now time.Time, e *entry, held bool) {
 	switch {
 	case held && e.state == StateAbsent:
