Fair queue refuses for lateness only while every turn is taken

Cause: an attempt was refused as too late because of a backlog that waited for loads, while turns were free; in the flood 34% of all requests were refused with batches of 5.8 of 16. Change: the expected wait counts only while every turn is taken.

--- a/internal/experiment/endpoints/agent.go
+++ b/internal/experiment/endpoints/agent.go
@@ -119,6 +119,7 @@
 	t.waiting = false
 	if t.request.build != (slots.Build{}) {
 		a.machine.Leave(t.request.build)
+		a.countStall(t)
 	}
 	t.ended(t, true)
 }
@@ -166,15 +167,22 @@
 	if item.Build != (slots.Build{}) {
 		t.use, _ = a.machine.Begin(now, item.Build)
 	}
-	if !t.resident && item.Build != (slots.Build{}) {
-		t.request.stalled = true
-		t.request.stall = a.run.clock.now - t.request.at
-	}
+	a.countStall(t)
 	a.running++
 	a.run.answered(t)
 	a.engine.add(t)
 }
 
+// countStall counts the wait of an attempt that found its build not resident,
+// whether it then ran or not.
+func (a *agent) countStall(t *attempt) {
+	if t.resident || t.request.build == (slots.Build{}) {
+		return
+	}
+	t.request.stalled = true
+	t.request.stall = a.run.clock.now - t.request.at
+}
+
 // refuseStuck refuses attempts for which no slot could be had in time.
 func (a *agent) refuseStuck() {
 	if !a.machine.Known() || a.machine.Room() > 0 {
--- a/internal/experiment/endpoints/experiment.go
+++ b/internal/experiment/endpoints/experiment.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
 )
 
@@ -35,19 +37,41 @@
 	return nil
 }
 
+// parallelRuns bounds the runs that go on at once.
+const parallelRuns = 2
+
 func compare(ctx context.Context, d deployment, s scenario, seed uint64, out io.Writer) error {
-	var rows [][]string
-	for _, sys := range systems {
-		if err := ctx.Err(); err != nil {
+	rows := make([][]string, len(systems))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelRuns)
+	for i, sys := range systems {
+		group.Go(func() error {
+			m, err := average(ctx, d, s, sys, seed)
+			rows[i] = m.row(sys.name)
 			return err
-		}
-		requests := arrivals(d, s, seed)
-		m := measure(d, s, simulate(d, s, sys, requests), requests)
-		rows = append(rows, m.row(sys.name))
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
 	}
 	return experiment.Table(out, heading, rows)
 }
 
+// runsPerFigure is the number of seeds over which each figure is averaged.
+const runsPerFigure = 3
+
+func average(ctx context.Context, d deployment, s scenario, sys system, seed uint64) (measures, error) {
+	var sum measures
+	for i := range uint64(runsPerFigure) {
+		if err := ctx.Err(); err != nil {
+			return sum, err
+		}
+		requests := arrivals(d, s, seed+i)
+		sum = sum.plus(measure(d, s, simulate(d, s, sys, requests), requests))
+	}
+	return sum.over(runsPerFigure), nil
+}
+
 func (m measures) row(name string) []string {
 	return []string{
 		name,
--- a/internal/experiment/endpoints/report.go
+++ b/internal/experiment/endpoints/report.go
@@ -21,6 +21,25 @@
 	loads       float64       // Loads a second.
 }
 
+func (m measures) plus(o measures) measures {
+	return measures{
+		stallShare: m.stallShare + o.stallShare, stallMean: m.stallMean + o.stallMean, stallTotal: m.stallTotal + o.stallTotal,
+		perStep: m.perStep + o.perStep, perSecond: m.perSecond + o.perSecond, worst: m.worst + o.worst,
+		wrongful: m.wrongful + o.wrongful, refused: m.refused + o.refused,
+		firstToken: m.firstToken + o.firstToken, plainAnswer: m.plainAnswer + o.plainAnswer, loads: m.loads + o.loads,
+	}
+}
+
+func (m measures) over(n int) measures {
+	f, d := float64(n), time.Duration(n)
+	return measures{
+		stallShare: m.stallShare / f, stallMean: m.stallMean / d, stallTotal: m.stallTotal / f,
+		perStep: m.perStep / f, perSecond: m.perSecond / f, worst: m.worst / f,
+		wrongful: m.wrongful / f, refused: m.refused / f,
+		firstToken: m.firstToken / d, plainAnswer: m.plainAnswer / d, loads: m.loads / f,
+	}
+}
+
 const (
 	histogramLow    = 1
 	histogramHigh   = int64(time.Hour / time.Microsecond)
--- a/internal/policy/fairqueue/bounds.go
+++ b/internal/policy/fairqueue/bounds.go
@@ -41,11 +41,11 @@
 const unmeasuredWait = time.Second
 
 // expectedWait estimates when an attempt would begin: its organisation's own
-// backlog at the organisation's share of the measured rate. An attempt that
-// finds a free turn does not wait.
+// backlog at the organisation's share of the measured rate. While turns are
+// free, what waits is held up by its builds and says nothing about others.
 func (q *Queue) expectedWait(now time.Time, item Item) time.Duration {
 	perSecond, measured := q.rate.read(now)
-	if !measured || q.items < q.config.Concurrency {
+	if !measured || q.running < q.config.Concurrency {
 		return 0
 	}
 	ahead := int64(0)
--- a/internal/policy/fairqueue/fairqueue.go
+++ b/internal/policy/fairqueue/fairqueue.go
@@ -58,6 +58,7 @@
 	virtual float64 // Start of the attempt that began last.
 	items   int
 	tokens  int64
+	running int // Attempts that Pop gave out and that have not ended.
 	rate    rate
 }
 
@@ -172,6 +173,7 @@
 // really used.
 func (q *Queue) Release(now time.Time, item Item, used int64) {
 	q.rate.add(now, float64(used))
+	q.running--
 	f, ok := q.flows[item.Organisation]
 	if !ok {
 		return
--- a/internal/policy/fairqueue/pop.go
+++ b/internal/policy/fairqueue/pop.go
@@ -65,6 +65,7 @@
 	q.virtual = max(q.virtual, f.virtual)
 	f.virtual = max(f.virtual, q.virtual-q.config.MaxLag) + float64(w.Tokens)/float64(f.weight)
 	f.running++
+	q.running++
 	q.remove(f, c.index)
 	return w.Item
 }
--- a/internal/policy/slots/answers.go
+++ b/internal/policy/slots/answers.go
@@ -106,7 +106,7 @@
 		held[b] = true
 		m.entry(b)
 	}
-	for _, b := range m.sorted() {
+	for _, b := range m.sorted(func(*entry) bool { return true }) {
 		m.settle(now, id, b, held[b])
 	}
 }
--- a/internal/policy/slots/orders.go
+++ b/internal/policy/slots/orders.go
@@ -145,12 +145,9 @@
 // a load where attempts wait for the build and a permit is at hand, else an unload.
 func (m *Machine) repeats(now time.Time, permits int) ([]Order, int) {
 	var out []Order
-	for _, b := range m.sorted() {
-		e := m.entries[b]
-		if !e.repeatDue(now) {
-			continue
-		}
-		switch {
+	due := m.sorted(func(e *entry) bool { return e.repeatDue(now) })
+	for _, b := range due {
+		switch e := m.entries[b]; {
 		case e.waiting == 0:
 			out = append(out, m.order(now, KindUnload, b))
 		case permits > 0:
@@ -217,11 +214,13 @@
 	return n
 }
 
-// sorted returns the builds in a fixed order.
-func (m *Machine) sorted() []Build {
-	out := make([]Build, 0, len(m.entries))
-	for b := range m.entries {
-		out = append(out, b)
+// sorted returns the builds whose entries match, in a fixed order.
+func (m *Machine) sorted(match func(*entry) bool) []Build {
+	var out []Build
+	for b, e := range m.entries {
+		if match(e) {
+			out = append(out, b)
+		}
 	}
 	sort.Slice(out, func(i, j int) bool { return before(out[i], out[j]) })
 	return out
