--- a/internal/proof/harness/fleet.go
+++ b/internal/proof/harness/fleet.go
@@ -162,6 +162,7 @@
 func (f *Fleet) Kill(vm string) {
 	p := f.Process(vm)
 	p.gate.setDown(true)
+	p.gate.resume()
 	p.Host.Kill()
 	p.stop()
 }
@@ -171,8 +172,9 @@
 	f.Process(vm).stop()
 }
 
-// Replace starts a new life of a process on its VM.
+// Replace ends the present life of a process and starts a new one on its VM.
 func (f *Fleet) Replace(vm string) {
+	f.Kill(vm)
 	old := f.Process(vm)
 	f.start(vm, old.row, old.make)
 }
@@ -189,6 +191,11 @@
 	p.Host.Resume()
 }
 
+// CutFromStore makes the key-value service unreachable for this process alone.
+func (p *Process) CutFromStore(cut bool) {
+	p.gate.setDown(cut)
+}
+
 // Unlist takes a VM's row off the VM list.
 func (f *Fleet) Unlist(vm string) {
 	f.show(func(row vmlist.VM) (vmlist.VM, bool) { return row, string(row.ID) != vm })
--- a/internal/proof/matrix/world_test.go
+++ b/internal/proof/matrix/world_test.go
@@ -12,6 +12,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/proof/harness"
 )
 
@@ -116,10 +117,13 @@
 	callerGone   context.CancelFunc // Ends the subject's call.
 	upgradeAsked time.Time          // When version v2 was asked for.
 	upgraded     time.Time          // When version v2 was accepted; zero where not.
+	alone        bool               // Whether only one fault is caused.
 	withdrawn    time.Time          // When the subject's key was withdrawn; zero where not.
 	crash        bool               // Whether the subject's body crashes engines.
 	cold         bool               // Whether the subject's adapter is to be loaded by the subject.
 
+	exported []store.Entry // The store's data before an edit.
+
 	mu    sync.Mutex
 	calls []sent
 }
