--- a/internal/proof/harness/endpoint.go
+++ b/internal/proof/harness/endpoint.go
@@ -10,7 +10,6 @@
 
 	platform "github.com/hyssoptiller/hyssoptiller/internal/platform/engine"
 	"github.com/hyssoptiller/hyssoptiller/internal/standin/engine"
-	"github.com/hyssoptiller/hyssoptiller/internal/standin/service"
 )
 
 // Run is one request as it reached an endpoint.
@@ -57,9 +56,8 @@
 // Endpoint stands before one stand-in: it records what arrives and can hold
 // runs and spoil answers.
 type Endpoint struct {
-	Host    *Host
-	Engine  *engine.Server  // Nil for a plain service.
-	Service *service.Server // Nil for an engine.
+	Host   *Host
+	Engine *engine.Server // Nil for a plain service.
 
 	handler http.Handler
 	mu      sync.Mutex
--- a/internal/proof/harness/fleet.go
+++ b/internal/proof/harness/fleet.go
@@ -57,7 +57,8 @@
 	Capacity    int             // Attempts that each endpoint runs at once.
 	CrashMarker string          // A body that holds it crashes its engine.
 	IgnoreFence bool            // Whether engines carry out orders with an old fencing number.
-	Services    []ident.Service // One endpoint each runs behind two agents' VMs.
+	Services    []ident.Service // Each runs on two VMs.
+	Handler     http.Handler    // Stands in for every plain service; the booking stand-in where nil.
 }
 
 // Process is one life of an entry or agent.
@@ -240,9 +241,12 @@
 }
 
 func (f *Fleet) addService(s ident.Service, i int) {
-	server := service.NewServer()
+	handler := f.opts.Handler
+	if handler == nil {
+		handler = service.NewServer()
+	}
 	name := fmt.Sprintf("%s-%d", s, i)
-	f.addEndpoint(name, server, &Endpoint{Service: server})
+	f.addEndpoint(name, handler, &Endpoint{})
 	row := f.row(name, i, vmlist.RolePlain)
 	row.Service = s
 	f.start(name, row, f.makeAgent(row, 0))
