--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,11 +16,13 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/admission"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/callers"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/endpoints"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/gather"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/gossip"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
@@ -53,6 +55,7 @@
 	replica   *config.Replica
 	directory *directory.Directory
 	running   *running.Index
+	notices   *gossip.Notices
 	tree      *suture.Supervisor // What callers' requests rest on.
 	front     *suture.Supervisor // Callers' listener; ends first.
 }
@@ -71,6 +74,7 @@
 		replica:   config.NewReplica(config.ReplicaOptions{Store: opts.Store, Log: opts.Log, Timeline: ring}),
 		directory: directory.New(directory.Options{List: opts.VMList, Interval: s.VMListInterval, Log: opts.Log}),
 		running:   running.NewIndex(),
+		notices:   gossip.NewNotices(),
 		tree:      process.NewSupervisor("entry", opts.Log, s.DrainTimeout),
 		front:     process.NewSupervisor("entry front", opts.Log, s.DrainTimeout),
 	}
@@ -104,9 +108,15 @@
 func (e *Entry) callersHandler(client *transport.Client) http.Handler {
 	s := e.opts.Settings
 	dispatcher := dispatch.New(dispatch.Options{
-		Client:    client,
-		Endpoints: &dispatch.Rendezvous{Directory: e.directory},
-		Timeline:  e.ring,
+		Client: client,
+		Endpoints: endpoints.New(endpoints.Options{
+			Directory: e.directory,
+			Placement: endpoints.DefaultPlacement(),
+			Metrics:   e.metrics.Scope,
+		}),
+		Timeline: e.ring,
+		Metrics:  e.metrics.Scope,
+		Notices:  e.notices,
 	})
 	return callers.NewHandler(callers.Options{
 		Config:       e.replica.Current,
