--- a/internal/proof/harness/fleet.go
+++ b/internal/proof/harness/fleet.go
@@ -57,7 +57,8 @@
 	Capacity    int             // Attempts that each endpoint runs at once.
 	CrashMarker string          // A body that holds it crashes its engine.
 	IgnoreFence bool            // Whether engines carry out orders with an old fencing number.
-	Services    []ident.Service // One endpoint each runs behind two agents' VMs.
+	Services    []ident.Service // Each runs on two VMs.
+	Handler     http.Handler    // Stands in for every plain service; the booking stand-in where nil.
 }
 
 // Process is one life of an entry or agent.
@@ -162,6 +163,7 @@
 func (f *Fleet) Kill(vm string) {
 	p := f.Process(vm)
 	p.gate.setDown(true)
+	p.gate.resume()
 	p.Host.Kill()
 	p.stop()
 }
@@ -171,8 +173,9 @@
 	f.Process(vm).stop()
 }
 
-// Replace starts a new life of a process on its VM.
+// Replace ends the present life of a process and starts a new one on its VM.
 func (f *Fleet) Replace(vm string) {
+	f.Kill(vm)
 	old := f.Process(vm)
 	f.start(vm, old.row, old.make)
 }
@@ -189,6 +192,11 @@
 	p.Host.Resume()
 }
 
+// CutFromStore makes the key-value service unreachable for this process alone.
+func (p *Process) CutFromStore(cut bool) {
+	p.gate.setDown(cut)
+}
+
 // Unlist takes a VM's row off the VM list.
 func (f *Fleet) Unlist(vm string) {
 	f.show(func(row vmlist.VM) (vmlist.VM, bool) { return row, string(row.ID) != vm })
@@ -233,9 +241,12 @@
 }
 
 func (f *Fleet) addService(s ident.Service, i int) {
-	server := service.NewServer()
+	handler := f.opts.Handler
+	if handler == nil {
+		handler = service.NewServer()
+	}
 	name := fmt.Sprintf("%s-%d", s, i)
-	f.addEndpoint(name, server, &Endpoint{Service: server})
+	f.addEndpoint(name, handler, &Endpoint{})
 	row := f.row(name, i, vmlist.RolePlain)
 	row.Service = s
 	f.start(name, row, f.makeAgent(row, 0))
