--- /dev/null
+++ b/internal/policy/limit/machine_test.go
@@ -0,0 +1,477 @@
+package limit
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+)
+
+func init() {
+	for name, value := range map[string]string{
+		"rapid.seed": "1", "rapid.checks": "1200", "rapid.steps": "150", "rapid.nofailfile": "true",
+	} {
+		if flag.Lookup(name) != nil {
+			_ = flag.Set(name, value)
+		}
+	}
+}
+
+const (
+	testRate  = 10
+	testBurst = 40
+	goneAfter = 10 * time.Second // Off the list for so long: certainly gone.
+	firstVMs  = 4
+	mostVMs   = 7
+)
+
+var testTerms = Terms{Rate: testRate, Burst: testBurst, Revision: 1}
+
+// admitted is one reservation that an asker let through.
+type admitted struct {
+	at    time.Time
+	used  Parts
+	parts []Part
+	from  *proc
+}
+
+// proc is one life of a process.
+type proc struct {
+	*Holder
+	paused bool
+	dead   bool
+}
+
+// asking is a plan on its way.
+type asking struct {
+	by    *proc
+	plan  *Plan
+	tries int
+}
+
+type message struct {
+	to  Member
+	run func(p *proc)
+}
+
+// world holds the processes, the store's record and what is on the network.
+type world struct {
+	now     time.Time
+	rng     *rand.Rand
+	account Account
+	procs   []*proc
+	listed  map[ident.VM]bool
+	off     map[ident.VM]time.Time // When a VM left the list.
+	record  Generation
+	storeUp bool
+	net     []message
+	open    []*admitted
+	all     []*admitted
+	next    int
+	life    Incarnation
+}
+
+func newWorld(seed uint64) *world {
+	w := &world{
+		now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(seed, 1)), storeUp: true,
+		account: Account(fmt.Sprintf("organisation-%d", seed%97)),
+		listed:  make(map[ident.VM]bool), off: make(map[ident.VM]time.Time),
+	}
+	for range firstVMs {
+		w.boot(w.newVM())
+	}
+	founder := w.procs[0]
+	w.record = First(founder.self)
+	founder.Found(w.now, w.record)
+	return w
+}
+
+func (w *world) newVM() ident.VM {
+	w.next++
+	vm := ident.VM(fmt.Sprintf("entry-%d", w.next))
+	w.listed[vm] = true
+	return vm
+}
+
+func (w *world) boot(vm ident.VM) {
+	w.life++
+	w.procs = append(w.procs, &proc{Holder: NewHolder(Member{vm, w.life}, w.now)})
+}
+
+func (w *world) find(m Member) *proc {
+	for _, p := range w.procs {
+		if p.self == m {
+			return p
+		}
+	}
+	return nil
+}
+
+func (w *world) running() []*proc {
+	var out []*proc
+	for _, p := range w.procs {
+		if !p.dead && !p.paused {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (w *world) pick() *proc {
+	r := w.running()
+	if len(r) == 0 {
+		return nil
+	}
+	return r[w.rng.IntN(len(r))]
+}
+
+func (w *world) gone(m Member) bool {
+	at, ok := w.off[m.VM]
+	return ok && w.now.Sub(at) >= goneAfter
+}
+
+func (w *world) send(to Member, run func(p *proc)) {
+	w.net = append(w.net, message{to, run})
+}
+
+// advance moves time in small steps, in which running processes beat.
+func (w *world) advance(d time.Duration) {
+	for d > 0 {
+		step := min(d, 500*time.Millisecond)
+		w.now = w.now.Add(step)
+		d -= step
+		for _, p := range w.running() {
+			w.beat(p)
+		}
+	}
+}
+
+func (w *world) beat(p *proc) {
+	if !w.listed[p.self.VM] {
+		p.Doubt()
+	}
+	p.Beat(w.now)
+	for _, m := range p.Awaited() {
+		if w.gone(m) {
+			p.Gone(w.now, m)
+		}
+	}
+}
+
+// ask starts a plan at a process.
+func (w *world) ask(tokens int64) {
+	p := w.pick()
+	if p == nil || p.gen.Number == 0 {
+		return
+	}
+	w.next++
+	id := ReservationID(fmt.Sprintf("%s-%d-%d", p.self.VM, p.self.Incarnation, w.next))
+	plan := NewPlan(p.gen, w.account, testTerms, id, tokens)
+	for i := range Shares {
+		plan.Estimate(i, Parts(w.rng.IntN(testBurst+1)))
+	}
+	w.step(&asking{by: p, plan: plan})
+}
+
+// step sends the plan's next request, or ends the plan.
+func (w *world) step(a *asking) {
+	a.tries++
+	ask, ok := a.plan.Next(a.by.self)
+	if !ok || a.tries > 2*Shares {
+		w.finish(a)
+		return
+	}
+	sent := w.now
+	if ask.Holder == a.by.self {
+		w.answered(a, ask, sent, a.by.Reserve(w.now, ask.Request))
+		return
+	}
+	taken := false
+	w.send(ask.Holder, func(h *proc) {
+		answer := h.Reserve(w.now, ask.Request)
+		w.send(a.by.self, func(*proc) {
+			if !taken { // A call takes one answer.
+				taken = true
+				w.answered(a, ask, sent, answer)
+			}
+		})
+	})
+}
+
+func (w *world) answered(a *asking, ask Ask, sent time.Time, answer Answer) {
+	if !a.plan.Take(sent, w.now, ask, answer) {
+		w.settle(Part{Share: ask.Request.Share, Holder: ask.Holder, ID: ask.Request.ID}, 0)
+	}
+	w.step(a)
+}
+
+func (w *world) finish(a *asking) {
+	if !a.plan.Admit(w.now) {
+		for _, part := range a.plan.Parts() {
+			w.settle(part, 0)
+		}
+		return
+	}
+	total := Parts(0)
+	for _, part := range a.plan.Parts() {
+		total += part.Amount
+	}
+	one := &admitted{at: w.now, used: total, parts: a.plan.Parts(), from: a.by}
+	w.all = append(w.all, one)
+	w.open = append(w.open, one)
+}
+
+func (w *world) settle(part Part, used Parts) {
+	w.send(part.Holder, func(h *proc) {
+		if h.Settle(w.now, part.Share, part.ID, used) {
+			return
+		}
+		to := h.gen.Holder(part.Share)
+		w.send(to, func(h *proc) { h.Settle(w.now, part.Share, part.ID, used) })
+	})
+}
+
+// settleOne settles the i-th open reservation.
+func (w *world) settleOne() {
+	if len(w.open) == 0 {
+		return
+	}
+	i := w.rng.IntN(len(w.open))
+	one := w.open[i]
+	w.open = append(w.open[:i], w.open[i+1:]...)
+	if one.from.dead || one.from.paused {
+		return
+	}
+	tokens := int64(one.used) / Shares
+	used := w.rng.Int64N(tokens + 1)
+	for j, u := range Use(one.parts, used) {
+		w.settle(one.parts[j], u)
+	}
+	one.used = PartsOf(used)
+}
+
+// deliver takes one message off the network; twice keeps it there.
+func (w *world) deliver(twice bool) {
+	if len(w.net) == 0 {
+		return
+	}
+	i := w.rng.IntN(len(w.net))
+	m := w.net[i]
+	p := w.find(m.to)
+	if p != nil && p.paused {
+		return
+	}
+	if !twice {
+		w.net = append(w.net[:i], w.net[i+1:]...)
+	}
+	if p != nil && !p.dead {
+		m.run(p)
+	}
+}
+
+func (w *world) drop() {
+	if len(w.net) == 0 {
+		return
+	}
+	i := w.rng.IntN(len(w.net))
+	w.net = append(w.net[:i], w.net[i+1:]...)
+}
+
+// propose makes the next generation as a process sees it.
+func (w *world) propose(answerLost bool) {
+	p := w.pick()
+	if p == nil || !w.storeUp || p.gen.Number != w.record.Number {
+		return
+	}
+	next, ok := p.gen.Next(w.change(p), w.reports())
+	if !ok {
+		return
+	}
+	w.record = next
+	if !answerLost {
+		p.Install(w.now, next)
+	}
+}
+
+func (w *world) change(p *proc) Change {
+	var c Change
+	for _, m := range p.gen.Members {
+		if w.gone(m) {
+			c.Gone = append(c.Gone, m)
+		}
+	}
+	other := w.pick()
+	if !w.listed[other.self.VM] {
+		return c
+	}
+	if other.gen.Has(other.self) && w.rng.IntN(3) == 0 {
+		c.Leave = append(c.Leave, other.self)
+	} else {
+		c.Join = append(c.Join, other.self)
+	}
+	return c
+}
+
+func (w *world) reports() []Report {
+	var out []Report
+	for _, p := range w.running() {
+		out = append(out, Report{Member: p.self, Generation: p.gen.Number, Settled: p.Settled()})
+	}
+	return out
+}
+
+// learn lets a process read the store's record, or a peer's.
+func (w *world) learn() {
+	p := w.pick()
+	if p == nil {
+		return
+	}
+	if !w.storeUp {
+		p.Install(w.now, w.pick().gen)
+		return
+	}
+	p.Install(w.now, w.record)
+	if w.listed[p.self.VM] {
+		p.Confirm(w.now, w.record.Number)
+	}
+}
+
+// handOver sends a process's hand-overs, again where they were sent before.
+func (w *world) handOver() {
+	p := w.pick()
+	if p == nil {
+		return
+	}
+	for _, h := range p.Outgoing() {
+		handover := *h
+		w.send(handover.ID.To, func(to *proc) {
+			receipt := to.Receive(w.now, handover)
+			if receipt == ReceiptLater {
+				return
+			}
+			w.send(p.self, func(from *proc) { from.Acknowledged(handover.ID) })
+		})
+	}
+}
+
+func (w *world) pause() {
+	if p := w.pick(); p != nil {
+		p.paused = true
+	}
+}
+
+func (w *world) resume() {
+	for _, p := range w.procs {
+		if p.paused && w.rng.IntN(2) == 0 {
+			p.paused = false
+		}
+	}
+}
+
+// unlist takes the VM of a paused or dead process off the list.
+func (w *world) unlist() {
+	for _, p := range w.procs {
+		if (p.paused || p.dead) && w.listed[p.self.VM] {
+			w.listed[p.self.VM] = false
+			w.off[p.self.VM] = w.now
+			return
+		}
+	}
+}
+
+// restart ends a process; another life begins on the same VM.
+func (w *world) restart() {
+	p := w.pick()
+	if p == nil {
+		return
+	}
+	p.dead = true
+	if w.listed[p.self.VM] {
+		w.boot(p.self.VM)
+	}
+}
+
+func (w *world) kill() {
+	if p := w.pick(); p != nil {
+		p.dead = true
+	}
+}
+
+func (w *world) join() {
+	if len(w.listed) < mostVMs {
+		w.boot(w.newVM())
+	}
+}
+
+// excess returns by how many parts the worst window exceeds the limit.
+func excess(all []*admitted) int64 {
+	const perPart = int64(time.Second)
+	worst, level := int64(0), int64(0)
+	for i, one := range all {
+		if i > 0 {
+			elapsed := int64(one.at.Sub(all[i-1].at))
+			level = max(level-elapsed*testRate*Shares, 0)
+		}
+		level += int64(one.used) * perPart
+		worst = max(worst, level-testBurst*Shares*perPart)
+	}
+	return (worst + perPart - 1) / perPart
+}
+
+func TestNoWindowExceedsRateAndBurstUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64Range(0, 1<<32).Draw(t, "seed"))
+		act := func(f func()) func(*rapid.T) { return func(*rapid.T) { f() } }
+		deliverMany := func(t *rapid.T) {
+			for range rapid.IntRange(1, 12).Draw(t, "messages") {
+				w.deliver(false)
+			}
+		}
+		ask := func(t *rapid.T) { w.ask(rapid.Int64Range(1, testBurst).Draw(t, "tokens")) }
+		wait := func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 900).Draw(t, "milliseconds")) * time.Millisecond)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":         func(t *rapid.T) { checkWindows(t, w) },
+			"ask1":     ask,
+			"ask2":     ask,
+			"ask3":     ask,
+			"deliver1": deliverMany,
+			"deliver2": deliverMany,
+			"deliver3": deliverMany,
+			"twice":    act(func() { w.deliver(true) }),
+			"drop":     act(w.drop),
+			"settle":   act(w.settleOne),
+			"wait1":    wait,
+			"wait2":    wait,
+			"waitLong": func(t *rapid.T) {
+				w.advance(time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds")) * time.Second)
+			},
+			"propose":   act(func() { w.propose(false) }),
+			"proposed":  act(func() { w.propose(true) }),
+			"learn1":    act(w.learn),
+			"learn2":    act(w.learn),
+			"learn3":    act(w.learn),
+			"handOver1": act(w.handOver),
+			"handOver2": act(w.handOver),
+			"pause":     act(w.pause),
+			"resume":    act(w.resume),
+			"unlist":    act(w.unlist),
+			"restart":   act(w.restart),
+			"kill":      act(w.kill),
+			"join":      act(w.join),
+			"store":     act(func() { w.storeUp = !w.storeUp }),
+		})
+	})
+}
+
+func checkWindows(t *rapid.T, w *world) {
+	if over := excess(w.all); over > 0 {
+		t.Fatalf("a window admitted %d parts more than burst + rate x window", over)
+	}
+}
