--- a/internal/policy/limit/machine_test.go
+++ b/internal/policy/limit/machine_test.go
@@ -14,7 +14,7 @@
 
 func init() {
 	for name, value := range map[string]string{
-		"rapid.seed": "1", "rapid.checks": "1200", "rapid.steps": "150", "rapid.nofailfile": "true",
+		"rapid.seed": "1", "rapid.checks": "1500", "rapid.steps": "150", "rapid.nofailfile": "true",
 	} {
 		if flag.Lookup(name) != nil {
 			_ = flag.Set(name, value)
@@ -103,13 +103,16 @@
 	w.procs = append(w.procs, &proc{Holder: NewHolder(Member{vm, w.life}, w.now)})
 }
 
+// find returns the process that answers at a member's address: the latest
+// life on its VM.
 func (w *world) find(m Member) *proc {
+	var last *proc
 	for _, p := range w.procs {
-		if p.self == m {
-			return p
+		if p.self.VM == m.VM {
+			last = p
 		}
 	}
-	return nil
+	return last
 }
 
 func (w *world) running() []*proc {
@@ -194,8 +197,8 @@
 	taken := false
 	w.send(ask.Holder, func(h *proc) {
 		answer := h.Reserve(w.now, ask.Request)
-		w.send(a.by.self, func(*proc) {
-			if !taken { // A call takes one answer.
+		w.send(a.by.self, func(back *proc) {
+			if !taken && back == a.by { // A call takes one answer.
 				taken = true
 				w.answered(a, ask, sent, answer)
 			}
@@ -423,49 +426,89 @@
 	return (worst + perPart - 1) / perPart
 }
 
+// flood asks for tokens at many processes.
+func (w *world) flood(most int64) {
+	for range 2 + w.rng.IntN(12) {
+		w.ask(1 + w.rng.Int64N(most))
+		w.deliverSome(4)
+	}
+}
+
+// slowGather asks for much while answers are slow, and then for the rest.
+func (w *world) slowGather() {
+	w.ask(testBurst/2 + w.rng.Int64N(testBurst/2+1))
+	for range 1 + w.rng.IntN(5) {
+		w.deliverSome(5)
+		w.advance(time.Duration(w.rng.IntN(200)) * time.Millisecond)
+	}
+	w.deliverSome(20)
+	w.flood(1)
+}
+
+func (w *world) deliverSome(most int) {
+	for range w.rng.IntN(most + 1) {
+		w.deliver(false)
+	}
+}
+
+// progress lets most processes do what they do every second.
+func (w *world) progress() {
+	for range len(w.running()) {
+		w.learn()
+		w.handOver()
+		w.deliverSome(6)
+	}
+	w.propose(w.rng.IntN(5) == 0)
+}
+
+// fault does one of the things that go wrong.
+func (w *world) fault() {
+	faults := []func(){
+		w.drop, func() { w.deliver(true) }, w.pause, w.pause, w.resume, w.unlist, w.unlist, w.restart, w.kill,
+		w.join, w.join, func() { w.storeUp = false }, func() { w.storeUp = true }, func() { w.storeUp = true },
+	}
+	faults[w.rng.IntN(len(faults))]()
+	if len(w.running()) == 0 {
+		w.resumeAll()
+	}
+}
+
+func (w *world) resumeAll() {
+	for _, p := range w.procs {
+		p.paused = false
+	}
+	if len(w.running()) == 0 {
+		w.boot(w.newVM())
+	}
+}
+
 func TestNoWindowExceedsRateAndBurstUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64Range(0, 1<<32).Draw(t, "seed"))
 		act := func(f func()) func(*rapid.T) { return func(*rapid.T) { f() } }
-		deliverMany := func(t *rapid.T) {
-			for range rapid.IntRange(1, 12).Draw(t, "messages") {
-				w.deliver(false)
-			}
-		}
-		ask := func(t *rapid.T) { w.ask(rapid.Int64Range(1, testBurst).Draw(t, "tokens")) }
+		flood := func(t *rapid.T) { w.flood(rapid.SampledFrom([]int64{1, 5, testBurst}).Draw(t, "most")) }
 		wait := func(t *rapid.T) {
 			w.advance(time.Duration(rapid.IntRange(1, 900).Draw(t, "milliseconds")) * time.Millisecond)
 		}
+		waitLong := func(t *rapid.T) {
+			w.advance(time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds")) * time.Second)
+		}
 		t.Repeat(map[string]func(*rapid.T){
-			"":         func(t *rapid.T) { checkWindows(t, w) },
-			"ask1":     ask,
-			"ask2":     ask,
-			"ask3":     ask,
-			"deliver1": deliverMany,
-			"deliver2": deliverMany,
-			"deliver3": deliverMany,
-			"twice":    act(func() { w.deliver(true) }),
-			"drop":     act(w.drop),
-			"settle":   act(w.settleOne),
-			"wait1":    wait,
-			"wait2":    wait,
-			"waitLong": func(t *rapid.T) {
-				w.advance(time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds")) * time.Second)
-			},
-			"propose":   act(func() { w.propose(false) }),
-			"proposed":  act(func() { w.propose(true) }),
-			"learn1":    act(w.learn),
-			"learn2":    act(w.learn),
-			"learn3":    act(w.learn),
-			"handOver1": act(w.handOver),
-			"handOver2": act(w.handOver),
-			"pause":     act(w.pause),
-			"resume":    act(w.resume),
-			"unlist":    act(w.unlist),
-			"restart":   act(w.restart),
-			"kill":      act(w.kill),
-			"join":      act(w.join),
-			"store":     act(func() { w.storeUp = !w.storeUp }),
+			"":          func(t *rapid.T) { checkWindows(t, w) },
+			"flood1":    flood,
+			"flood2":    flood,
+			"flood3":    flood,
+			"deliver":   act(func() { w.deliverSome(30) }),
+			"gather":    act(w.slowGather),
+			"settle":    act(func() { w.settleOne(); w.settleOne(); w.deliverSome(6) }),
+			"wait1":     wait,
+			"wait2":     wait,
+			"waitLong":  waitLong,
+			"progress1": act(w.progress),
+			"progress2": act(w.progress),
+			"progress3": act(w.progress),
+			"fault1":    act(w.fault),
+			"fault2":    act(w.fault),
 		})
 	})
 }
