--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,10 +15,12 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/admission"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/callers"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/endpoints"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/gossip"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
@@ -51,7 +53,9 @@
 	replica   *config.Replica
 	directory *directory.Directory
 	running   *running.Index
-	tree      *suture.Supervisor
+	notices   *gossip.Notices
+	tree      *suture.Supervisor // What callers' requests rest on.
+	front     *suture.Supervisor // Callers' listener; ends first.
 }
 
 // New builds the entry's supervisor tree.
@@ -68,7 +72,9 @@
 		replica:   config.NewReplica(config.ReplicaOptions{Store: opts.Store, Log: opts.Log, Timeline: ring}),
 		directory: directory.New(directory.Options{List: opts.VMList, Interval: s.VMListInterval, Log: opts.Log}),
 		running:   running.NewIndex(),
+		notices:   gossip.NewNotices(),
 		tree:      process.NewSupervisor("entry", opts.Log, s.DrainTimeout),
+		front:     process.NewSupervisor("entry front", opts.Log, s.DrainTimeout),
 	}
 	e.replica.OnChange(e.configChanged)
 	if err := e.addServices(); err != nil {
@@ -89,7 +95,7 @@
 	}
 	e.tree.Add(e.replica)
 	e.tree.Add(e.directory)
-	e.tree.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
+	e.front.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
 	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(), time.Second))
 	e.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: e.opts.FleetListener, Grace: s.DrainTimeout})
 	admin := process.AdminHandler(e.ready, e.metrics)
@@ -100,9 +106,15 @@
 func (e *Entry) callersHandler(client *transport.Client) http.Handler {
 	s := e.opts.Settings
 	dispatcher := dispatch.New(dispatch.Options{
-		Client:    client,
-		Endpoints: &dispatch.Rendezvous{Directory: e.directory},
-		Timeline:  e.ring,
+		Client: client,
+		Endpoints: endpoints.New(endpoints.Options{
+			Directory: e.directory,
+			Placement: endpoints.DefaultPlacement(),
+			Metrics:   e.metrics.Scope,
+		}),
+		Timeline: e.ring,
+		Metrics:  e.metrics.Scope,
+		Notices:  e.notices,
 	})
 	return callers.NewHandler(callers.Options{
 		Config:       e.replica.Current,
@@ -139,24 +151,17 @@
 
 // Serve runs the entry until ctx ends, then drains: /readyz fails, the
 // balancer gets the drain delay to notice, and running requests finish within
-// the drain timeout.
+// the drain timeout while keys and configuration are still watched.
 func (e *Entry) Serve(ctx context.Context) error {
 	defer e.metrics.Close()
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessStarted})
-	tree, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	done := e.tree.ServeBackground(tree)
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
+	return process.NewStages(e.tree, e.front).Serve(ctx, e.drain)
+}
+
+func (e *Entry) drain() {
 	e.ready.Not("draining")
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
 	time.Sleep(e.opts.Settings.DrainDelay)
-	stop()
-	<-done
-	return nil
 }
 
 // alwaysFresh trusts the configuration whatever its age.
