--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
@@ -22,11 +23,14 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/gossip"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/shares"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -54,6 +58,8 @@
 	directory *directory.Directory
 	running   *running.Index
 	notices   *gossip.Notices
+	shares    *shares.Keeper
+	asker     *shares.Asker
 	tree      *suture.Supervisor // What callers' requests rest on.
 	front     *suture.Supervisor // Callers' listener; ends first.
 }
@@ -89,7 +95,8 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	fleet, err := transport.NewServer(s.Security, e.clock, http.NotFoundHandler())
+	e.addShares(client)
+	fleet, err := transport.NewServer(s.Security, e.clock, e.fleetHandler())
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -103,6 +110,33 @@
 	return nil
 }
 
+// addShares adds what counts tokens over all VMs.
+func (e *Entry) addShares(client *transport.Client) {
+	s := e.opts.Settings
+	self := members.Member{
+		VM: s.VM, Address: e.opts.FleetListener.Addr().String(), FailureDomain: s.FailureDomain, Region: s.Region,
+		Incarnation: members.Incarnation(time.Now().UnixNano()),
+	}
+	view := members.NewListed(self, e.directory)
+	holder := limit.Member{VM: self.VM, Incarnation: limit.Incarnation(self.Incarnation)}
+	e.shares = shares.NewKeeper(shares.KeeperOptions{
+		Self: holder, Members: view, Store: e.opts.Store, Client: client,
+		Log: e.opts.Log, Timeline: e.ring, Metrics: e.metrics.Scope,
+	})
+	e.asker = shares.NewAsker(shares.AskerOptions{
+		Self: holder, Keeper: e.shares, Client: client, Peers: shares.FromView(view), Metrics: e.metrics.Scope,
+	})
+	e.tree.Add(e.shares)
+	e.tree.Add(e.asker)
+}
+
+// fleetHandler serves the other processes of the fleet.
+func (e *Entry) fleetHandler() http.Handler {
+	router := chi.NewRouter()
+	router.Mount(shares.PathPrefix, e.shares.Handler())
+	return router
+}
+
 func (e *Entry) callersHandler(client *transport.Client) http.Handler {
 	s := e.opts.Settings
 	dispatcher := dispatch.New(dispatch.Options{
@@ -119,7 +153,7 @@
 	return callers.NewHandler(callers.Options{
 		Config:       e.replica.Current,
 		Freshness:    alwaysFresh{},
-		Limiter:      admission.NewLocal(),
+		Limiter:      admission.NewFleet(e.asker, e.replica.Current),
 		Dispatcher:   dispatcher,
 		Running:      e.running,
 		Timeline:     e.ring,
@@ -161,6 +195,7 @@
 func (e *Entry) drain() {
 	e.ready.Not("draining")
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
+	e.shares.Leave(context.Background())
 	time.Sleep(e.opts.Settings.DrainDelay)
 }
 
@@ -172,5 +207,5 @@
 
 // Ready reports whether the entry can serve callers.
 func (e *Entry) Ready() bool {
-	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero()
+	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero() && e.shares.Ready()
 }
--- /dev/null
+++ b/internal/fleet/shares/keeper.go
@@ -0,0 +1,288 @@
+package shares
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
+)
+
+const (
+	// tickInterval is the time between two rounds of a keeper.
+	tickInterval = 500 * time.Millisecond
+	// startInterval is the same before the first generation is known.
+	startInterval = 20 * time.Millisecond
+	// joinPatience is how long a process that knows the generation waits to
+	// become a member of it before it serves as an asker only.
+	joinPatience = time.Second
+	// goneAfter is how long a VM must be off the VM list until its process is
+	// certainly gone. By then a process that was paused knows that it was.
+	goneAfter = limit.PauseLimit + limit.GrantLifetime + 1500*time.Millisecond
+)
+
+// KeeperOptions configures NewKeeper.
+type KeeperOptions struct {
+	Self     limit.Member
+	Members  members.View
+	Store    store.Store
+	Client   *transport.Client
+	Log      *logrus.Entry
+	Timeline *timeline.Ring
+	Metrics  tally.Scope
+}
+
+// Keeper holds this process's shares and takes part in moving them. It is
+// safe for concurrent use.
+type Keeper struct {
+	opts    KeeperOptions
+	remote  remote
+	records *records
+	gauge   tally.Gauge
+	kick    chan struct{} // There is something to do.
+
+	mu       sync.Mutex
+	known    time.Time // When the first generation was learned.
+	holder   *limit.Holder
+	missing  map[ident.VM]time.Time // Off the VM list since then.
+	change   limit.Change           // Asked for and not yet in a generation.
+	leaving  bool
+	degraded degradation
+}
+
+// NewKeeper returns a Keeper that holds nothing yet.
+func NewKeeper(opts KeeperOptions) *Keeper {
+	return &Keeper{
+		opts:    opts,
+		remote:  remote{client: opts.Client, peers: FromView(opts.Members)},
+		records: &records{store: opts.Store},
+		gauge:   opts.Metrics.SubScope("limit").Gauge("generation_number"),
+		kick:    make(chan struct{}, 1),
+		holder:  limit.NewHolder(opts.Self, time.Now()),
+		missing: make(map[ident.VM]time.Time),
+	}
+}
+
+// Serve runs the keeper until ctx ends. It implements suture.Service.
+func (k *Keeper) Serve(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return k.watch(ctx) })
+	group.Go(func() error { return k.beat(ctx) })
+	group.Go(func() error { return k.work(ctx) })
+	return group.Wait()
+}
+
+// beat notes that the process runs. It makes no calls, so that only a pause
+// of the whole process delays it.
+func (k *Keeper) beat(ctx context.Context) error {
+	for ctx.Err() == nil {
+		k.mu.Lock()
+		if !k.listed() && k.holder.Generation().Has(k.opts.Self) {
+			k.holder.Doubt()
+		} else {
+			k.holder.Beat(time.Now())
+		}
+		k.mu.Unlock()
+		pause(ctx, tickInterval)
+	}
+	return ctx.Err()
+}
+
+// work does what takes calls: generations, hand-overs, repair.
+func (k *Keeper) work(ctx context.Context) error {
+	for ctx.Err() == nil {
+		k.noteGone(time.Now())
+		k.confirm(ctx)
+		k.handOver(ctx)
+		k.askPeer(ctx)
+		k.takePart(ctx)
+		k.noteDegraded(time.Now())
+		k.rest(ctx)
+	}
+	return ctx.Err()
+}
+
+// rest waits until the next round is due or there is something to do.
+func (k *Keeper) rest(ctx context.Context) {
+	interval := tickInterval
+	if !k.Ready() {
+		interval = startInterval
+	}
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-k.kick:
+	case <-ctx.Done():
+	}
+}
+
+// wake begins the next round at once.
+func (k *Keeper) wake() {
+	select {
+	case k.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Ready reports whether the process can ask for tokens: it knows the
+// generation, and has taken over its shares or cannot become a member now.
+func (k *Keeper) Ready() bool {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	gen := k.holder.Generation()
+	if gen.Number == 0 {
+		return false
+	}
+	if !gen.Has(k.opts.Self) {
+		return now.Sub(k.known) > joinPatience
+	}
+	return !k.holder.Unsure(now) && len(k.holder.Awaited()) == 0
+}
+
+// Generation returns the installed generation.
+func (k *Keeper) Generation() limit.Generation {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holder.Generation()
+}
+
+// Learn installs a generation that is later than the installed one.
+func (k *Keeper) Learn(gen limit.Generation) {
+	k.mu.Lock()
+	installed := k.holder.Install(time.Now(), gen)
+	k.noteKnown()
+	k.mu.Unlock()
+	if installed {
+		k.wake()
+		k.moved("generation installed", gen.Number)
+	}
+}
+
+// noteKnown keeps when the first generation was learned. k.mu is held.
+func (k *Keeper) noteKnown() {
+	if k.known.IsZero() && k.holder.Generation().Number > 0 {
+		k.known = time.Now()
+	}
+}
+
+func (k *Keeper) reserve(req limit.Request) limit.Answer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holder.Reserve(time.Now(), req)
+}
+
+func (k *Keeper) settle(s settlement) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holder.Settle(time.Now(), s.share, s.id, s.used)
+}
+
+// listed reports whether this process is on the VM list.
+func (k *Keeper) listed() bool {
+	for _, m := range k.opts.Members.Entries() {
+		if m.VM == k.opts.Self.VM {
+			return m.State != members.StateGone
+		}
+	}
+	return false
+}
+
+// noteGone finds members that are certainly gone and lets shares that are
+// awaited from them restart.
+func (k *Keeper) noteGone(now time.Time) {
+	present := make(map[ident.VM]bool)
+	for _, m := range k.opts.Members.Entries() {
+		present[m.VM] = m.State != members.StateGone
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(present) == 0 {
+		return
+	}
+	gen := k.holder.Generation()
+	known := append(append([]limit.Member(nil), gen.Members...), gen.Previous...)
+	missing := make(map[ident.VM]time.Time)
+	for _, m := range known {
+		if present[m.VM] {
+			continue
+		}
+		missing[m.VM] = now
+		if since, ok := k.missing[m.VM]; ok {
+			missing[m.VM] = since
+		}
+	}
+	k.missing = missing
+	for _, m := range known {
+		if k.gone(m, now) {
+			k.holder.Gone(now, m)
+		}
+	}
+}
+
+// gone reports whether a member has certainly ended. k.mu is held.
+func (k *Keeper) gone(m limit.Member, now time.Time) bool {
+	since, ok := k.missing[m.VM]
+	return ok && now.Sub(since) >= goneAfter
+}
+
+// handOver sends what this process has to hand over, until it is taken.
+func (k *Keeper) handOver(ctx context.Context) {
+	k.mu.Lock()
+	outgoing := k.holder.Outgoing()
+	k.mu.Unlock()
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxParallelCalls)
+	for _, h := range outgoing {
+		group.Go(func() error {
+			k.handOne(ctx, h)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (k *Keeper) handOne(ctx context.Context, h *limit.Handover) {
+	receipt, err := k.remote.transfer(ctx, h)
+	if err != nil || receipt == limit.ReceiptLater {
+		return
+	}
+	k.mu.Lock()
+	k.holder.Acknowledged(h.ID)
+	k.mu.Unlock()
+	k.moved("shares handed to "+string(h.ID.To.VM), h.ID.Generation)
+}
+
+// askPeer asks one other entry for its generation, so that news spread while
+// the store is down.
+func (k *Keeper) askPeer(ctx context.Context) {
+	vms := k.remote.peers.VMs()
+	if len(vms) == 0 {
+		return
+	}
+	vm := vms[rand.IntN(len(vms))]
+	if vm == k.opts.Self.VM {
+		return
+	}
+	resp, err := k.remote.inspect(ctx, vm, k.Generation().Number)
+	if err != nil || resp.GetNewer() == nil {
+		return
+	}
+	k.Learn(generationFromRPC(resp.GetNewer()))
+}
+
+func (k *Keeper) moved(detail string, number uint64) {
+	k.gauge.Update(float64(number))
+	k.opts.Timeline.Record(timeline.Event{Kind: timeline.KindShareMoved, Detail: detail})
+}
--- /dev/null
+++ b/internal/fleet/shares/server.go
@@ -0,0 +1,108 @@
+package shares
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/rpc"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
+)
+
+// PathPrefix is where Handler is to be mounted.
+const PathPrefix = rpc.SharesPathPrefix
+
+// Handler serves other processes' calls.
+func (k *Keeper) Handler() http.Handler {
+	return rpc.NewSharesServer(server{k})
+}
+
+// server implements rpc.Shares.
+type server struct {
+	keeper *Keeper
+}
+
+// Reserve implements rpc.Shares.
+func (s server) Reserve(_ context.Context, req *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
+	resp := answerToRPC(s.keeper.reserve(requestFromRPC(req)))
+	resp.Newer = s.newer(req.GetGeneration())
+	return resp, nil
+}
+
+// Settle implements rpc.Shares.
+func (s server) Settle(_ context.Context, req *rpc.SettleRequest) (*rpc.SettleResponse, error) {
+	resp := &rpc.SettleResponse{}
+	for i, one := range req.GetSettlements() {
+		held := s.keeper.settle(settlement{
+			share: shareFromRPC(one.GetShare()), id: limit.ReservationID(one.GetId()), used: limit.Parts(one.GetUsed()),
+		})
+		if !held {
+			resp.Elsewhere = append(resp.Elsewhere, int32(i))
+		}
+	}
+	return resp, nil
+}
+
+// Transfer implements rpc.Shares.
+func (s server) Transfer(_ context.Context, req *rpc.TransferRequest) (*rpc.TransferResponse, error) {
+	k := s.keeper
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	receipt := k.holder.Receive(time.Now(), handoverFromRPC(req))
+	return &rpc.TransferResponse{Receipt: rpc.TransferReceipt(receipt)}, nil
+}
+
+// Inspect implements rpc.Shares.
+func (s server) Inspect(_ context.Context, req *rpc.InspectRequest) (*rpc.InspectResponse, error) {
+	report := s.keeper.report()
+	s.keeper.mu.Lock()
+	leaving := s.keeper.leaving
+	s.keeper.mu.Unlock()
+	return &rpc.InspectResponse{
+		Member: memberToRPC(report.Member), Generation: report.Generation, Settled: report.Settled,
+		Leaving: leaving, Newer: s.newer(req.GetGeneration()),
+	}, nil
+}
+
+// Change implements rpc.Shares.
+func (s server) Change(_ context.Context, req *rpc.ChangeRequest) (*rpc.ChangeResponse, error) {
+	var change limit.Change
+	if req.GetJoin() != nil {
+		change.Join = append(change.Join, memberFromRPC(req.GetJoin()))
+	}
+	if req.GetLeave() != nil {
+		change.Leave = append(change.Leave, memberFromRPC(req.GetLeave()))
+	}
+	s.keeper.want(change)
+	return &rpc.ChangeResponse{}, nil
+}
+
+// newer returns the installed generation where the given number is below it.
+func (s server) newer(number uint64) *rpc.ShareGeneration {
+	gen := s.keeper.Generation()
+	if gen.Number <= number {
+		return nil
+	}
+	return generationToRPC(gen)
+}
+
+// transfer sends a hand-over.
+func (r remote) transfer(ctx context.Context, h *limit.Handover) (limit.Receipt, error) {
+	var resp *rpc.TransferResponse
+	err := r.call(ctx, h.ID.To.VM, controlTimeout, func(ctx context.Context, stub rpc.Shares) (err error) {
+		resp, err = stub.Transfer(ctx, handoverToRPC(h))
+		return err
+	})
+	return limit.Receipt(resp.GetReceipt()), err
+}
+
+// inspect asks the entry on vm for its generation.
+func (r remote) inspect(ctx context.Context, vm ident.VM, number uint64) (*rpc.InspectResponse, error) {
+	var resp *rpc.InspectResponse
+	err := r.call(ctx, vm, askTimeout, func(ctx context.Context, stub rpc.Shares) (err error) {
+		resp, err = stub.Inspect(ctx, &rpc.InspectRequest{Generation: number})
+		return err
+	})
+	return resp, err
+}
--- /dev/null
+++ b/internal/policy/limit/level.go
@@ -0,0 +1,37 @@
+package limit
+
+import (
+	"sort"
+	"time"
+)
+
+// Level is what one share holds, in tokens.
+type Level struct {
+	ID          ShareID
+	Balance     float64
+	Outstanding float64 // Claims of reservations.
+	Burst       float64
+}
+
+// Levels returns the shares that were asked for, ordered by account and index.
+func (h *Holder) Levels(now time.Time) []Level {
+	out := make([]Level, 0, len(h.shares))
+	for id, share := range h.shares {
+		share.advance(now)
+		out = append(out, Level{
+			ID: id, Balance: share.balance.tokens(), Outstanding: share.claims.tokens(),
+			Burst: share.terms.burst().tokens(),
+		})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].ID.Account != out[j].ID.Account {
+			return out[i].ID.Account < out[j].ID.Account
+		}
+		return out[i].ID.Index < out[j].ID.Index
+	})
+	return out
+}
+
+func (u units) tokens() float64 {
+	return float64(u) / float64(unitsPerPart) / Shares
+}
--- a/internal/policy/limit/terms.go
+++ b/internal/policy/limit/terms.go
@@ -14,7 +14,7 @@
 	// PauseLimit is how long a holder may be without a sign of its own life
 	// before it must confirm its generation. It is shorter than the time after
 	// which a process off the VM list counts as gone.
-	PauseLimit = 5 * time.Second
+	PauseLimit = 3 * time.Second
 	// TokenLifetime is when an unsettled reservation of tokens counts as used.
 	TokenLifetime = 10 * time.Minute
 	// PermitLifetime is when an unreturned permit is free again.
@@ -74,3 +74,10 @@
 	}
 	return units(low)
 }
+
+// Estimate returns what a share that had left parts holds after d, if nobody
+// has taken any.
+func (t Terms) Estimate(left Parts, d time.Duration) Parts {
+	room := t.burst() - units(left)*unitsPerPart
+	return left + Parts(t.refill(d, room)/unitsPerPart)
+}
