--- a/cmd/hyssop-agent/main.go
+++ b/cmd/hyssop-agent/main.go
@@ -52,7 +52,9 @@
 	process.Flag(app, "drain-timeout", "Longest time that running work gets at shutdown.").Default("5m").DurationVar(&s.DrainTimeout)
 	process.Flag(app, "store-timeout", "Longest time for one call to the key-value service.").Default("2s").DurationVar(&s.StoreTimeout)
 	process.Flag(app, "claim-retention", "How long an Idempotency-Key is remembered.").Default("24h").DurationVar(&s.ClaimRetention)
-	process.Flag(app, "vm-list", "URL of the platform's VM list, to learn that this VM is leaving; not read where empty.").StringVar(&s.VMListURL)
+	process.Flag(app, "vm-list", "URL of the platform's VM list, to learn that this VM is leaving and whom to ask for load permits; not read where empty.").StringVar(&s.VMListURL)
+	process.Flag(app, "loads-per-second", "Adapter loads that may begin in a second over the whole fleet.").Default("4").Int64Var(&s.LoadsPerSecond)
+	process.Flag(app, "loads-in-flight", "Adapter loads that may run at once over the whole fleet.").Default("8").Int64Var(&s.LoadsInFlight)
 	process.Flag(app, "max-body-bytes", "Largest request body in bytes.").Default("4194304").Int64Var(&s.MaxBodyBytes)
 	process.Flag(app, "timeline-events", "Events that the time line keeps.").Default("8192").IntVar(&s.TimelineEvents)
 }
--- a/cmd/hyssop-load/main.go
+++ b/cmd/hyssop-load/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/drive"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/limits"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -18,6 +19,7 @@
 // experiments are the sub-commands.
 var experiments = []experiment.Experiment{
 	drive.New(),
+	limits.New(),
 }
 
 func main() {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,23 +16,30 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/drain"
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/fencing"
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/intake"
+	"github.com/hyssoptiller/hyssoptiller/internal/agent/permits"
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/schedule"
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/watch"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/shares"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/engine"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
+// vmListInterval is the time between two readings of the VM list.
+const vmListInterval = 2 * time.Second
+
 // Options configures New. The listeners are open; Serve closes them.
 type Options struct {
 	Settings      Settings
 	Store         store.Store
-	VMList        vmlist.List // Tells when the VM is leaving; not asked where nil.
+	VMList        vmlist.List // Tells when the VM is leaving and where the entries are; not asked where nil.
 	FleetListener net.Listener
 	AdminListener net.Listener
 	Log           *logrus.Entry
@@ -59,6 +66,7 @@
 	if opts.Settings.ClaimRetention == 0 {
 		opts.Settings.ClaimRetention = DefaultClaimRetention
 	}
+	opts.Settings.setLoadDefaults()
 	s := opts.Settings
 	clock := hlc.New(nil)
 	a := &Agent{
@@ -70,10 +78,14 @@
 	}
 	endpoint := engine.NewClient(s.EndpointAddress, s.OrderTimeout, opts.Dial)
 	a.addGuards()
+	loads, err := a.loadPermits(clock)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	scheduler := schedule.New(schedule.Options{
 		Engine:   fencing.NewGuard(endpoint, a.fencing),
 		Fence:    a.fencing.Current,
-		Permits:  schedule.UnlimitedLoads{},
+		Permits:  loads,
 		Slots:    s.Slots,
 		Capacity: s.Capacity,
 		Grace:    s.DrainTimeout,
@@ -96,6 +108,33 @@
 	return a, nil
 }
 
+// loadPermits returns what rations adapter loads over the fleet. Without a VM
+// list there is no entry to ask, and loads are not rationed.
+func (a *Agent) loadPermits(clock *hlc.Clock) (schedule.LoadPermits, error) {
+	s := a.opts.Settings
+	if a.opts.VMList == nil {
+		return schedule.UnlimitedLoads{}, nil
+	}
+	client, err := transport.NewClient(s.Security, clock, a.opts.Dial)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	entries := directory.New(directory.Options{List: a.opts.VMList, Interval: vmListInterval, Log: a.opts.Log})
+	asker := shares.NewAsker(shares.AskerOptions{
+		Self:    limit.Member{VM: s.VM, Incarnation: limit.Incarnation(time.Now().UnixNano())},
+		Client:  client,
+		Peers:   shares.FromDirectory(entries),
+		Metrics: a.metrics.Scope,
+	})
+	a.tree.Add(entries)
+	a.tree.Add(asker)
+	return permits.New(permits.Options{
+		Reserver: asker,
+		Limits:   permits.Limits{PerSecond: s.LoadsPerSecond, InFlight: s.LoadsInFlight},
+		Metrics:  a.metrics.Scope,
+	}), nil
+}
+
 // addGuards adds what decides whether the agent may take and order work.
 func (a *Agent) addGuards() {
 	s := a.opts.Settings
--- a/internal/agent/permits/permits.go
+++ b/internal/agent/permits/permits.go
@@ -30,8 +30,16 @@
 	// shortestWait and longestWait bound the time between two tries.
 	shortestWait = 10 * time.Millisecond
 	longestWait  = time.Second
+	// longestHold is how long a place is held before its load begins.
+	longestHold = 10 * time.Second
 )
 
+// LongestLoad is how long a load may run so that it ends within its permit.
+const LongestLoad = limit.PermitLifetime - longestHold - limit.GrantLifetime
+
+// errHeldTooLong says that the process was paused while it held a place.
+const errHeldTooLong = errors.ConstError("place held too long before the load began")
+
 // Limits are the fleet's limits of adapter loads.
 type Limits struct {
 	PerSecond int64 // Loads that may begin in a second.
@@ -67,20 +75,41 @@
 // Acquire implements schedule.LoadPermits. It takes the place in flight first,
 // so that no token of the rate is spent while the places are taken.
 func (p *Permits) Acquire(ctx context.Context) (func(), error) {
+	for {
+		release, err := p.try(ctx)
+		if err == nil {
+			p.given.Inc(1)
+			return release, nil
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// try takes a place and then a token of the rate. It gives the place back
+// where the token came too late for the load to end within the place's
+// lifetime.
+func (p *Permits) try(ctx context.Context) (func(), error) {
 	place, err := p.take(ctx, flightAccount, limit.Terms{Burst: p.opts.Limits.InFlight, Permits: true})
 	if err != nil {
 		return nil, err
 	}
-	release := func() { place.Settle(0) }
+	taken := time.Now()
+	bounded, cancel := context.WithTimeout(ctx, longestHold)
+	defer cancel()
 	rate := limit.Terms{Rate: p.opts.Limits.PerSecond, Burst: p.opts.Limits.PerSecond}
-	begun, err := p.take(ctx, rateAccount, rate)
+	begun, err := p.take(bounded, rateAccount, rate)
 	if err != nil {
-		release()
+		place.Settle(0)
 		return nil, err
 	}
 	begun.Settle(1)
-	p.given.Inc(1)
-	return release, nil
+	if time.Since(taken) > longestHold {
+		place.Settle(0)
+		return nil, errHeldTooLong
+	}
+	return func() { place.Settle(0) }, nil
 }
 
 // take tries until one token is there.
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/agent/permits"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/settings"
@@ -11,6 +12,12 @@
 // DefaultClaimRetention is how long an Idempotency-Key is remembered.
 const DefaultClaimRetention = 24 * time.Hour
 
+// Limits of adapter loads over the whole fleet.
+const (
+	DefaultLoadsPerSecond = 4
+	DefaultLoadsInFlight  = 8
+)
+
 // Settings are the agent's settings, as flags and variables give them.
 type Settings struct {
 	VM              ident.VM
@@ -29,10 +36,22 @@
 	StoreTimeout    time.Duration
 	ClaimRetention  time.Duration // How long an Idempotency-Key is remembered; DefaultClaimRetention where 0.
 	VMListURL       string        // URL of the platform's VM list; not read where empty.
+	LoadsPerSecond  int64         // Adapter loads that may begin in a second over the whole fleet; DefaultLoadsPerSecond where 0.
+	LoadsInFlight   int64         // Adapter loads that may run at once over the whole fleet; DefaultLoadsInFlight where 0.
 	MaxBodyBytes    int64
 	TimelineEvents  int // Events that the time line keeps.
 }
 
+// setLoadDefaults fills in the limits of adapter loads.
+func (s *Settings) setLoadDefaults() {
+	if s.LoadsPerSecond == 0 {
+		s.LoadsPerSecond = DefaultLoadsPerSecond
+	}
+	if s.LoadsInFlight == 0 {
+		s.LoadsInFlight = DefaultLoadsInFlight
+	}
+}
+
 // Check returns what is wrong with the settings, a line for each.
 func (s Settings) Check() error {
 	var c settings.Checker
@@ -53,6 +72,11 @@
 	if s.VMListURL != "" {
 		c.URL("vm-list", s.VMListURL)
 	}
+	if s.OrderTimeout > permits.LongestLoad {
+		c.Problemf("order-timeout", "%s is above %s, the longest time that a load permit covers", s.OrderTimeout, permits.LongestLoad)
+	}
+	c.AtLeast("loads-per-second", s.LoadsPerSecond, 0)
+	c.AtLeast("loads-in-flight", s.LoadsInFlight, 0)
 	c.AtLeast("max-body-bytes", s.MaxBodyBytes, 1)
 	c.AtLeast("timeline-events", int64(s.TimelineEvents), 1)
 	return c.Err()
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -213,6 +213,7 @@
 			MaxBodyBytes: maxBodyBytes, TimelineEvents: timelineEvents,
 		},
 		Store:         d.storeClient(),
+		VMList:        vmlist.NewClient("http://"+d.vmListAddress+"/vms", storeTimeout),
 		FleetListener: fleet,
 		AdminListener: admin,
 		Log:           d.opts.Log.WithField("vm", vm.ID),
--- a/internal/fleet/shares/asker.go
+++ b/internal/fleet/shares/asker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,8 @@
 	attempts = 2
 	// silentFor is how long a holder that did not answer is left out.
 	silentFor = time.Second
+	// maxDiscoverCalls bounds how many entries are asked for the generation.
+	maxDiscoverCalls = 3
 	// unknownWait is told where no estimate can be made.
 	unknownWait = 5 * time.Second
 )
@@ -131,7 +134,7 @@
 	tokens = max(tokens, 1)
 	var plan *limit.Plan
 	for range attempts {
-		gen := a.local.Generation()
+		gen := a.generation(ctx)
 		if gen.Number == 0 {
 			return nil, ErrNoGeneration
 		}
@@ -142,6 +145,9 @@
 			return &Reservation{asker: a, parts: plan.Parts(), tokens: tokens}, nil
 		}
 		a.giveBack(plan.Parts(), 0)
+		if !plan.Answered() {
+			a.discover(ctx)
+		}
 		if a.local.Generation().Number == gen.Number {
 			break
 		}
@@ -150,6 +156,36 @@
 	return nil, denied(plan)
 }
 
+// generation returns the known generation, or asks for it where none is known.
+func (a *Asker) generation(ctx context.Context) limit.Generation {
+	gen := a.local.Generation()
+	if gen.Number > 0 || a.opts.Keeper != nil {
+		return gen
+	}
+	a.discover(ctx)
+	return a.local.Generation()
+}
+
+// discover asks entries on the VM list until one tells the generation. A
+// Keeper learns by itself.
+func (a *Asker) discover(ctx context.Context) {
+	if a.opts.Keeper != nil {
+		return
+	}
+	vms := a.opts.Peers.VMs()
+	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	for _, vm := range vms[:min(len(vms), maxDiscoverCalls)] {
+		resp, err := a.remote.inspect(ctx, vm, a.local.Generation().Number)
+		if err != nil || resp.GetGeneration() == 0 {
+			continue
+		}
+		if resp.GetNewer() != nil {
+			a.local.Learn(generationFromRPC(resp.GetNewer()))
+		}
+		return
+	}
+}
+
 func denied(plan *limit.Plan) *Denied {
 	wait, ok := plan.RetryAfter()
 	if !ok {
--- a/internal/fleet/shares/remote.go
+++ b/internal/fleet/shares/remote.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/rpc"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
@@ -66,6 +67,34 @@
 	return out
 }
 
+// FromDirectory returns the Peers of a process that knows only the VM list.
+func FromDirectory(d *directory.Directory) Peers {
+	return listPeers{d}
+}
+
+type listPeers struct {
+	directory *directory.Directory
+}
+
+// Address implements Peers.
+func (p listPeers) Address(vm ident.VM) (string, bool) {
+	for _, row := range p.directory.View().Entries() {
+		if row.ID == vm {
+			return row.Address, row.Address != ""
+		}
+	}
+	return "", false
+}
+
+// VMs implements Peers.
+func (p listPeers) VMs() []ident.VM {
+	var out []ident.VM
+	for _, row := range p.directory.View().Entries() {
+		out = append(out, row.ID)
+	}
+	return out
+}
+
 // remote calls other processes.
 type remote struct {
 	client *transport.Client
--- a/internal/policy/limit/plan.go
+++ b/internal/policy/limit/plan.go
@@ -168,6 +168,16 @@
 	return p.parts
 }
 
+// Answered reports whether any holder has answered with a balance.
+func (p *Plan) Answered() bool {
+	for _, view := range p.shares {
+		if view.answered {
+			return true
+		}
+	}
+	return false
+}
+
 // RetryAfter estimates when the tokens will be there, from the shares that
 // have answered. It returns false where those can never give so many.
 func (p *Plan) RetryAfter() (time.Duration, bool) {
