--- a/cmd/hyssop-load/main.go
+++ b/cmd/hyssop-load/main.go
@@ -11,6 +11,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/drive"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/endpoints"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/limits"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -20,6 +21,7 @@
 var experiments = []experiment.Experiment{
 	drive.New(),
 	endpoints.Experiment,
+	limits.New(),
 }
 
 func main() {
