--- a/internal/entry/callers/callers_test.go
+++ b/internal/entry/callers/callers_test.go
@@ -137,7 +137,7 @@
 	}{
 		{"no key", "POST", path, "", good, 401, refusal.CodeMissingKey},
 		{"unknown key", "POST", path, "nobody", good, 401, refusal.CodeUnknownKey},
-		{"organisation without plan", "POST", path, "key-without-plan", good, 403, refusal.CodeUnknownKey},
+		{"organisation without plan", "POST", path, "key-without-plan", good, 403, refusal.CodeNoPlan},
 		{"another model", "POST", path, testKey, `{"model":"other"}`, 404, refusal.CodeUnknownModel},
 		{"no JSON", "POST", path, testKey, `model`, 400, refusal.CodeBadRequest},
 		{"JSON array", "POST", path, testKey, `[]`, 400, refusal.CodeBadRequest},
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -55,6 +55,7 @@
 	CodeTooLarge          Code = "request_too_large"
 	CodeMissingKey        Code = "missing_key"
 	CodeUnknownKey        Code = "unknown_key"
+	CodeNoPlan            Code = "no_plan"
 	CodeKeyWithdrawn      Code = "key_withdrawn"
 	CodeUnknownModel      Code = "unknown_model"
 	CodeUnknownRoute      Code = "unknown_route"
