Large reservations are spread over the shares; claims stay hard exactly as long as an answer may be under way

Cause of wrongful refusals: one share was drained while others ran over, refunds came back to one part only, and refill was lost beside hard claims.

Found by the state machine and mended: a share restarted after a loss refilled during the wait for the lost holder's last answers, a hand-over forgot the rest of that wait, and a late look at a share let refill of the hard time erode claims.

--- a/internal/experiment/limits/design.go
+++ b/internal/experiment/limits/design.go
@@ -156,9 +156,22 @@
 		return false
 	}
 	d.parts[a.index] = plan.Parts()
+	d.tell(now, self, plan)
 	return true
 }
 
+func (d *design) tell(now time.Duration, self *limit.Holder, plan *limit.Plan) {
+	if !plan.Tell() {
+		return
+	}
+	for _, part := range plan.Parts() {
+		if part.Holder != self.Self() {
+			d.calls++
+		}
+		d.find(part.Holder).Admitted(at(now), part.Share, part.ID)
+	}
+}
+
 func (d *design) settle(now time.Duration, entry int, a arrival) {
 	self := d.holders[entry]
 	if self == nil {
--- a/internal/experiment/limits/limits.go
+++ b/internal/experiment/limits/limits.go
@@ -7,20 +7,31 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
+	"github.com/alecthomas/kingpin/v2"
+
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
 )
 
-// organisations is how many independent organisations a row sums up.
-const organisations = 20
+// flags chooses what is measured.
+type flags struct {
+	organisations int    // Independent organisations that a row sums up.
+	scenario      string // Only scenarios whose name has this in it.
+}
 
 // New returns the experiment.
 func New() experiment.Experiment {
+	f := &flags{}
 	return experiment.Experiment{
 		Name: "limits",
 		Help: "Counts wrongful refusals and violations of the fleet-wide rate and burst.",
-		Run:  run,
+		Flags: func(cmd *kingpin.CmdClause) {
+			cmd.Flag("organisations", "Independent organisations that a row sums up.").Default("20").IntVar(&f.organisations)
+			cmd.Flag("scenario", "Only scenarios whose name contains this.").StringVar(&f.scenario)
+		},
+		Run: func(_ context.Context, opts experiment.Options, out io.Writer) error { return f.run(opts, out) },
 	}
 }
 
@@ -62,28 +73,31 @@
 	c.calls += o.calls
 }
 
-func run(_ context.Context, opts experiment.Options, out io.Writer) error {
+func (f *flags) run(opts experiment.Options, out io.Writer) error {
 	heading := []string{
 		"scenario", "requests", "limiter", "number", "admitted %", "wrongful % (same history)",
 		"wrongful % (own bucket)", "tokens above limit", "calls/request",
 	}
 	var rows [][]string
 	for _, s := range scenarios {
+		if !strings.Contains(s.name, f.scenario) {
+			continue
+		}
 		for _, z := range requestSizes {
-			rows = append(rows, measure(s, z, opts.Seed)...)
+			rows = append(rows, f.measure(s, z, opts.Seed)...)
 		}
 	}
 	return experiment.Table(out, heading, rows)
 }
 
 // measure returns a row for each limiter.
-func measure(s scenario, z sizes, seed uint64) [][]string {
+func (f *flags) measure(s scenario, z sizes, seed uint64) [][]string {
 	totals := make(map[string]*counts)
 	order := []string{"shares", "split", "leased owner"}
 	for _, name := range order {
 		totals[name] = &counts{}
 	}
-	for org := range organisations {
+	for org := range f.organisations {
 		list := arrivalsOf(s, z, seed*1000+uint64(org))
 		d := newDesign(s, org)
 		c := replay(s, list, d)
--- a/internal/fleet/shares/asker.go
+++ b/internal/fleet/shares/asker.go
@@ -142,6 +142,7 @@
 		a.gather(ctx, plan, terms)
 		if plan.Admit(time.Now()) {
 			a.metrics.granted.Inc(1)
+			a.tell(plan)
 			return &Reservation{asker: a, parts: plan.Parts(), tokens: tokens}, nil
 		}
 		a.giveBack(plan.Parts(), 0)
@@ -277,6 +278,16 @@
 	a.hints[id] = hint{left: left, at: time.Now()}
 }
 
+// tell lets the holders know that a plan was admitted.
+func (a *Asker) tell(plan *limit.Plan) {
+	if !plan.Tell() {
+		return
+	}
+	for _, part := range plan.Parts() {
+		a.settler.add(settlement{share: part.Share, id: part.ID, admitted: true, to: part.Holder.VM})
+	}
+}
+
 func (a *Asker) giveBack(parts []limit.Part, used int64) {
 	for i, u := range limit.Use(parts, used) {
 		a.settler.add(settlement{share: parts[i].Share, id: parts[i].ID, used: u, to: parts[i].Holder.VM})
--- a/internal/fleet/shares/keeper.go
+++ b/internal/fleet/shares/keeper.go
@@ -186,6 +186,9 @@
 func (k *Keeper) settle(s settlement) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if s.admitted {
+		return k.holder.Admitted(time.Now(), s.share, s.id)
+	}
 	return k.holder.Settle(time.Now(), s.share, s.id, s.used)
 }
 
--- a/internal/fleet/shares/remote.go
+++ b/internal/fleet/shares/remote.go
@@ -24,7 +24,7 @@
 
 const (
 	// askTimeout bounds one call to a holder.
-	askTimeout = 150 * time.Millisecond
+	askTimeout = 100 * time.Millisecond
 	// controlTimeout bounds one call that moves shares or members.
 	controlTimeout = 2 * time.Second
 )
--- a/internal/fleet/shares/server.go
+++ b/internal/fleet/shares/server.go
@@ -36,6 +36,7 @@
 	for i, one := range req.GetSettlements() {
 		held := s.keeper.settle(settlement{
 			share: shareFromRPC(one.GetShare()), id: limit.ReservationID(one.GetId()), used: limit.Parts(one.GetUsed()),
+			admitted: one.GetAdmitted(),
 		})
 		if !held {
 			resp.Elsewhere = append(resp.Elsewhere, int32(i))
--- a/internal/fleet/shares/settler.go
+++ b/internal/fleet/shares/settler.go
@@ -26,13 +26,14 @@
 	maxSettleBatch = 256
 )
 
-// settlement ends one part of a reservation.
+// settlement ends one part of a reservation, or tells that it was admitted.
 type settlement struct {
-	share limit.ShareID
-	id    limit.ReservationID
-	used  limit.Parts
-	to    ident.VM
-	tries int
+	share    limit.ShareID
+	id       limit.ReservationID
+	used     limit.Parts
+	admitted bool
+	to       ident.VM
+	tries    int
 }
 
 // settler sends settlements in batches, again until they are answered.
@@ -109,6 +110,9 @@
 	gen := s.local.Generation()
 	for _, one := range failed {
 		one.tries++
+		if one.admitted {
+			continue // By now the time in which it matters is over.
+		}
 		if one.tries > maxSettleTries {
 			s.dropped.Inc(1)
 			continue
@@ -151,7 +155,7 @@
 	req := &rpc.SettleRequest{}
 	for _, one := range batch {
 		req.Settlements = append(req.Settlements, &rpc.Settlement{
-			Share: shareToRPC(one.share), Id: string(one.id), Used: int64(one.used),
+			Share: shareToRPC(one.share), Id: string(one.id), Used: int64(one.used), Admitted: one.admitted,
 		})
 	}
 	var resp *rpc.SettleResponse
--- a/internal/policy/limit/holder.go
+++ b/internal/policy/limit/holder.go
@@ -39,7 +39,7 @@
 type origin struct {
 	begun bool      // False while the hand-over is awaited.
 	full  bool      // The shares are full.
-	since time.Time // Refilled from zero since then, where not full.
+	since time.Time // Refilled from zero since then, where not full; may be to come.
 }
 
 // Holder is the state of one life of a process that may hold shares.
@@ -117,6 +117,18 @@
 	return true
 }
 
+// Admitted tells that the asker has let a reservation through. It reports
+// whether this process holds the share.
+func (h *Holder) Admitted(now time.Time, id ShareID, reservation ReservationID) bool {
+	share, ok := h.shares[id]
+	if !ok {
+		return false
+	}
+	share.advance(now)
+	share.admitted(now, reservation)
+	return true
+}
+
 // share returns a share at now, or false while it is awaited.
 func (h *Holder) share(now time.Time, id ShareID, terms Terms) (*Share, bool) {
 	if share, ok := h.shares[id]; ok {
@@ -137,13 +149,17 @@
 	return share, true
 }
 
-// ready reports whether a share may be used. Permits wait until all that a
-// lost holder may have given have expired.
+// ready reports whether a share may be used: not before the last answer of a
+// lost holder has lost its validity, and permits not before all that it may
+// have given have expired.
 func (o origin) ready(terms Terms, now time.Time) bool {
-	if !o.begun || o.full || !terms.Permits {
+	if !o.begun || o.full {
 		return o.begun
 	}
-	return now.Sub(o.since) >= PermitLifetime
+	if terms.Permits {
+		return now.Sub(o.since) >= PermitLifetime
+	}
+	return !now.Before(o.since)
 }
 
 // balance returns what a share that nobody has asked for holds.
--- a/internal/policy/limit/machine_test.go
+++ b/internal/policy/limit/machine_test.go
@@ -226,9 +226,18 @@
 	}
 	one := &admitted{at: w.now, used: total, parts: a.plan.Parts(), from: a.by}
 	w.all = append(w.all, one)
+	if a.plan.Tell() || w.rng.IntN(2) == 0 {
+		w.tell(a.plan)
+	}
 	w.open = append(w.open, one)
 }
 
+func (w *world) tell(plan *Plan) {
+	for _, part := range plan.Parts() {
+		w.send(part.Holder, func(h *proc) { h.Admitted(w.now, part.Share, part.ID) })
+	}
+}
+
 func (w *world) settle(part Part, used Parts) {
 	w.send(part.Holder, func(h *proc) {
 		if h.Settle(w.now, part.Share, part.ID, used) {
--- a/internal/policy/limit/move.go
+++ b/internal/policy/limit/move.go
@@ -15,7 +15,7 @@
 	ID     TransferID
 	Shares []ShareState
 	Full   bool          // Shares that nobody has asked for are full.
-	Age    time.Duration // Else they have been refilled from zero for so long.
+	Age    time.Duration // Else they have been refilled from zero for so long; below zero they will be.
 }
 
 // ShareState is a share on its way.
@@ -124,7 +124,7 @@
 		}
 		h.out[m] = &Handover{
 			ID:   TransferID{Generation: h.gen.Number, From: h.self, To: m},
-			Full: rest.full, Age: max(now.Sub(rest.since), 0),
+			Full: rest.full, Age: now.Sub(rest.since),
 		}
 	}
 	for id, share := range h.shares {
@@ -221,7 +221,7 @@
 	share := newShare(s.Terms, units(s.Balance), now)
 	for _, r := range s.Reservations {
 		share.add(&reservation{
-			id: r.ID, amount: r.Amount, claim: units(r.Claim),
+			id: r.ID, amount: r.Amount, claim: units(r.Claim), pending: r.HardFor > 0,
 			hardUntil: now.Add(r.HardFor), expires: now.Add(r.Expires),
 		})
 	}
--- a/internal/policy/limit/plan.go
+++ b/internal/policy/limit/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 )
 
@@ -41,7 +42,8 @@
 // shareView is what a plan knows of one share.
 type shareView struct {
 	left     Parts // Last known or estimated.
-	skip     bool  // Asked, or not to be asked.
+	asks     int   // How often it was asked.
+	skip     bool  // Not to be asked now.
 	answered bool  // The holder has answered with a balance.
 }
 
@@ -69,55 +71,44 @@
 	return p.gen.Holder(p.share(index))
 }
 
-// Next returns the next request, to the fullest share that was not asked, or
-// false where there is none or nothing is missing. prefer names the asker
-// itself: its own share goes first where that has all that is missing.
-func (p *Plan) Next(prefer Member) (Ask, bool) {
+// Next returns the next request, or false where nothing is missing or nobody
+// is left to be asked. self names the asker: what its own share can give as
+// well as others goes first and costs no call.
+func (p *Plan) Next(self Member) (Ask, bool) {
 	missing := p.missing()
 	if missing == 0 {
 		return Ask{}, false
 	}
-	best := -1
-	for i := range p.shares {
-		if p.shares[i].skip {
-			continue
-		}
-		if best < 0 || p.before(i, best, prefer, missing) {
-			best = i
-		}
-	}
-	if best < 0 {
+	p.askAgain()
+	best, ok := p.best(self, missing)
+	if !ok {
 		return Ask{}, false
 	}
-	p.shares[best].skip = true
 	ask := Ask{Holder: p.HolderOf(best), Request: Request{
 		Generation: p.gen.Number,
 		Share:      p.share(best),
 		Terms:      p.terms,
-		ID:         p.id,
-		Want:       missing,
+		ID:         p.requestID(best),
+		Want:       p.want(best, missing),
 		Least:      1,
 		Pending:    true,
 	}}
-	if len(p.parts) == 0 && p.suffices(best, prefer, missing) {
+	if len(p.parts) == 0 && p.suffices(best, self, missing) {
 		// All at once from the asker's own share: it is admitted as it is given.
 		ask.Request.Least = missing
 		ask.Request.Pending = false
 	}
+	p.shares[best].skip = true
+	p.shares[best].asks++
 	return ask, true
 }
 
-// before reports whether share i is asked before share j.
-func (p *Plan) before(i, j int, prefer Member, missing Parts) bool {
-	first, second := p.suffices(i, prefer, missing), p.suffices(j, prefer, missing)
-	if first != second {
-		return first
+// requestID names a request apart from an earlier one to the same share.
+func (p *Plan) requestID(index int) ReservationID {
+	if p.shares[index].asks == 0 {
+		return p.id
 	}
-	return p.shares[i].left > p.shares[j].left
-}
-
-func (p *Plan) suffices(i int, prefer Member, missing Parts) bool {
-	return p.HolderOf(i) == prefer && p.shares[i].left >= missing
+	return p.id + "+" + ReservationID(strconv.Itoa(p.shares[index].asks))
 }
 
 // Take adds an answer. It returns false where the answer is not valid: what
@@ -133,7 +124,7 @@
 		view.skip = ask.Request.Pending
 		return true
 	}
-	if !p.valid(ask, answer) || now.Sub(sent) > GrantLifetime {
+	if !p.valid(ask, answer) || now.Sub(sent) >= GrantLifetime {
 		return false
 	}
 	p.parts = append(p.parts, Part{
@@ -156,7 +147,7 @@
 		return false
 	}
 	for _, part := range p.parts {
-		if part.pending && now.Sub(part.asked) > GrantLifetime {
+		if part.pending && now.Sub(part.asked) >= GrantLifetime {
 			return false
 		}
 	}
@@ -168,6 +159,13 @@
 	return p.parts
 }
 
+// Tell reports whether the holders are to be told that the plan was admitted.
+// Large reservations are worth the calls: until then, the shares that gave
+// them are not refilled beyond what the reservation leaves free.
+func (p *Plan) Tell() bool {
+	return p.need > p.least() && !p.terms.Permits
+}
+
 // Answered reports whether any holder has answered with a balance.
 func (p *Plan) Answered() bool {
 	for _, view := range p.shares {
@@ -214,14 +212,27 @@
 	return p.need - got
 }
 
-// Use splits the used tokens of an admitted reservation over its parts: the
-// returned slice has what was used of each.
+// Use splits the used tokens of an admitted reservation over its parts in
+// proportion to them, so that what comes back is spread as what was taken. The
+// returned slice has what was used of each part.
 func Use(parts []Part, tokens int64) []Parts {
-	left := PartsOf(tokens)
+	total := Parts(0)
+	for _, part := range parts {
+		total += part.Amount
+	}
+	left := min(max(PartsOf(tokens), 0), total)
 	out := make([]Parts, len(parts))
 	for i, part := range parts {
-		out[i] = min(left, part.Amount)
+		if total == 0 {
+			break
+		}
+		out[i] = Parts(float64(left) * float64(part.Amount) / float64(total))
+		out[i] = min(out[i], part.Amount, left)
+		if i == len(parts)-1 {
+			out[i] = left
+		}
 		left -= out[i]
+		total -= part.Amount
 	}
 	return out
 }
--- a/internal/policy/limit/share.go
+++ b/internal/policy/limit/share.go
@@ -15,7 +15,8 @@
 	id        ReservationID
 	amount    Parts
 	claim     units
-	hardUntil time.Time // Before this the answer may be under way to the asker.
+	pending   bool      // The answer travels to another process.
+	hardUntil time.Time // Before this the answer may be under way.
 	expires   time.Time
 	element   *list.Element // Its place in the share's order.
 }
@@ -44,22 +45,50 @@
 	}
 }
 
-// advance brings the share to now. A clock that went back changes nothing.
+// advance brings the share to now, in steps between which no claim turns from
+// hard to soft: refill that finds no room beside hard claims is lost. A clock
+// that went back changes nothing.
 func (s *Share) advance(now time.Time) {
-	elapsed := now.Sub(s.refilled)
-	if elapsed <= 0 {
-		return
+	for s.refilled.Before(now) {
+		s.step(s.nextStep(now))
 	}
+}
+
+func (s *Share) step(now time.Time) {
+	start := s.refilled
 	s.refilled = now
 	s.expire(now)
-	s.balance += s.terms.refill(elapsed, s.terms.burst()-s.balance)
-	s.fit(now)
+	s.balance += s.terms.refill(now.Sub(start), s.terms.burst()-s.balance)
+	s.fit(start) // What was hard at the start has been hard all the time.
+}
+
+// nextStep returns the end of the next step: now, or the earliest time before
+// that at which a claim turns soft, where there may be no room for the refill.
+func (s *Share) nextStep(now time.Time) time.Time {
+	room := s.terms.burst() - s.balance - s.claims
+	if s.terms.refill(now.Sub(s.refilled), room+1) <= room {
+		return now
+	}
+	next := now
+	for e := s.order.Back(); e != nil; e = e.Prev() {
+		r := e.Value.(*reservation)
+		if !r.pending {
+			continue
+		}
+		if !r.hardUntil.After(s.refilled) {
+			break // Those before turned soft earlier.
+		}
+		if r.hardUntil.Before(next) {
+			next = r.hardUntil
+		}
+	}
+	return next
 }
 
 // fit restores balance + claims <= burst: first the oldest claims give way
-// whose answer can no longer be under way, then the balance. The balance of
-// permits is whatever is not claimed.
-func (s *Share) fit(now time.Time) {
+// that are soft at the given time, then the balance. The balance of permits is
+// whatever is not claimed.
+func (s *Share) fit(at time.Time) {
 	if s.terms.Permits {
 		s.balance = max(s.terms.burst()-s.claims, 0)
 		return
@@ -68,7 +97,7 @@
 	var next *list.Element
 	for e := s.order.Front(); e != nil && over > 0; e = next {
 		next = e.Next()
-		over -= s.cut(now, e.Value.(*reservation), over)
+		over -= s.cut(at, e.Value.(*reservation), over)
 	}
 	if over > 0 {
 		s.balance = max(s.balance-over, 0)
@@ -77,8 +106,8 @@
 
 // cut lowers a claim by at most over and returns by how much. A reservation
 // without a claim is over.
-func (s *Share) cut(now time.Time, r *reservation, over units) units {
-	if now.Before(r.hardUntil) {
+func (s *Share) cut(at time.Time, r *reservation, over units) units {
+	if at.Before(r.hardUntil) {
 		return 0
 	}
 	lost := min(over, r.claim)
@@ -125,12 +154,13 @@
 	}
 	r := &reservation{
 		id: id, amount: amount, claim: units(amount) * unitsPerPart,
-		hardUntil: now, expires: now.Add(s.terms.lifetime()),
+		pending: pending, hardUntil: now, expires: now.Add(s.terms.lifetime()),
 	}
 	if pending {
 		r.hardUntil = now.Add(GrantLifetime)
 	}
 	if s.terms.Permits {
+		r.pending = false
 		r.hardUntil = r.expires
 	}
 	s.balance -= r.claim
@@ -151,6 +181,15 @@
 	s.fit(now)
 }
 
+// admitted ends the time in which the answer may be under way: the asker says
+// that it has let the request through. An unknown id changes nothing.
+func (s *Share) admitted(now time.Time, id ReservationID) {
+	if r, ok := s.reservations[id]; ok && r.pending {
+		r.pending = false
+		r.hardUntil = now
+	}
+}
+
 func (s *Share) available() Parts {
 	return Parts(s.balance / unitsPerPart)
 }
--- a/internal/policy/limit/terms.go
+++ b/internal/policy/limit/terms.go
@@ -10,7 +10,7 @@
 	// Shares is the number of shares of each account.
 	Shares = 4
 	// GrantLifetime is how long after asking an asker may use an answer.
-	GrantLifetime = 500 * time.Millisecond
+	GrantLifetime = 200 * time.Millisecond
 	// PauseLimit is how long a holder may be without a sign of its own life
 	// before it must confirm its generation. It is shorter than the time after
 	// which a process off the VM list counts as gone.
