--- a/internal/experiment/limits/design.go
+++ b/internal/experiment/limits/design.go
@@ -134,9 +134,12 @@
 	plan := limit.NewPlan(self.Generation(), d.account, terms, idOf(a), a.tokens)
 	for i, h := range d.hints[entry] {
 		if h.known {
-			plan.Estimate(i, terms.Estimate(h.left, now-h.at))
+			plan.Estimate(i, h.left, now-h.at)
 		}
 	}
+	if plan.InVain() {
+		return false
+	}
 	for ask, ok := plan.Next(self.Self()); ok; ask, ok = plan.Next(self.Self()) {
 		if ask.Holder != self.Self() {
 			d.calls++
--- a/internal/fleet/shares/asker.go
+++ b/internal/fleet/shares/asker.go
@@ -139,7 +139,10 @@
 			return nil, ErrNoGeneration
 		}
 		plan = a.newPlan(gen, account, terms, tokens)
-		a.gather(ctx, plan, terms)
+		if plan.InVain() {
+			break
+		}
+		a.gather(ctx, plan)
 		if plan.Admit(time.Now()) {
 			a.metrics.granted.Inc(1)
 			a.tell(plan)
@@ -205,7 +208,7 @@
 	defer a.mu.Unlock()
 	for i := range limit.Shares {
 		if h, ok := a.hints[limit.ShareID{Account: account, Index: i}]; ok {
-			plan.Estimate(i, terms.Estimate(h.left, now.Sub(h.at)))
+			plan.Estimate(i, h.left, now.Sub(h.at))
 		}
 		if until, ok := a.silent[plan.HolderOf(i).VM]; ok && now.Before(until) {
 			plan.Skip(i)
@@ -215,7 +218,7 @@
 }
 
 // gather asks holders until the plan has all or there is nobody left to ask.
-func (a *Asker) gather(ctx context.Context, plan *limit.Plan, terms limit.Terms) {
+func (a *Asker) gather(ctx context.Context, plan *limit.Plan) {
 	for {
 		ask, ok := plan.Next(a.opts.Self)
 		if !ok {
@@ -315,6 +318,7 @@
 
 // Learn implements holding.
 func (l *learned) Learn(gen limit.Generation) {
+	gen = gen.Hashed()
 	for {
 		old := l.gen.Load()
 		if old != nil && old.Number >= gen.Number {
--- a/internal/fleet/shares/keeper.go
+++ b/internal/fleet/shares/keeper.go
@@ -23,6 +23,8 @@
 	tickInterval = 500 * time.Millisecond
 	// startInterval is the same before the first generation is known.
 	startInterval = 20 * time.Millisecond
+	// peerInterval is the time between two questions to peers.
+	peerInterval = 2 * time.Second
 	// joinPatience is how long a process that knows the generation waits to
 	// become a member of it before it serves as an asker only.
 	joinPatience = time.Second
@@ -50,6 +52,7 @@
 	records *records
 	gauge   tally.Gauge
 	kick    chan struct{} // There is something to do.
+	asked   time.Time     // When a peer was asked last; used by work alone.
 
 	mu       sync.Mutex
 	known    time.Time // When the first generation was learned.
@@ -271,9 +274,10 @@
 // the store is down.
 func (k *Keeper) askPeer(ctx context.Context) {
 	vms := k.remote.peers.VMs()
-	if len(vms) == 0 {
+	if len(vms) == 0 || (k.Ready() && time.Since(k.asked) < peerInterval) {
 		return
 	}
+	k.asked = time.Now()
 	vm := vms[rand.IntN(len(vms))]
 	if vm == k.opts.Self.VM {
 		return
--- a/internal/fleet/shares/remote.go
+++ b/internal/fleet/shares/remote.go
@@ -6,8 +6,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
-	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/rpc"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
@@ -29,72 +27,6 @@
 	controlTimeout = 2 * time.Second
 )
 
-// Peers tells where the entries of the fleet are.
-type Peers interface {
-	// Address returns the fleet address of an entry.
-	Address(vm ident.VM) (string, bool)
-	// VMs returns the entries on the VM list.
-	VMs() []ident.VM
-}
-
-// FromView returns the Peers that a view of the members shows.
-func FromView(view members.View) Peers {
-	return viewPeers{view}
-}
-
-type viewPeers struct {
-	view members.View
-}
-
-// Address implements Peers.
-func (p viewPeers) Address(vm ident.VM) (string, bool) {
-	for _, m := range p.view.Entries() {
-		if m.VM == vm {
-			return m.Address, m.Address != ""
-		}
-	}
-	return "", false
-}
-
-// VMs implements Peers.
-func (p viewPeers) VMs() []ident.VM {
-	var out []ident.VM
-	for _, m := range p.view.Entries() {
-		if m.State != members.StateGone {
-			out = append(out, m.VM)
-		}
-	}
-	return out
-}
-
-// FromDirectory returns the Peers of a process that knows only the VM list.
-func FromDirectory(d *directory.Directory) Peers {
-	return listPeers{d}
-}
-
-type listPeers struct {
-	directory *directory.Directory
-}
-
-// Address implements Peers.
-func (p listPeers) Address(vm ident.VM) (string, bool) {
-	for _, row := range p.directory.View().Entries() {
-		if row.ID == vm {
-			return row.Address, row.Address != ""
-		}
-	}
-	return "", false
-}
-
-// VMs implements Peers.
-func (p listPeers) VMs() []ident.VM {
-	var out []ident.VM
-	for _, row := range p.directory.View().Entries() {
-		out = append(out, row.ID)
-	}
-	return out
-}
-
 // remote calls other processes.
 type remote struct {
 	client *transport.Client
--- a/internal/policy/limit/generation.go
+++ b/internal/policy/limit/generation.go
@@ -1,8 +1,6 @@
 package limit
 
 import (
-	"strconv"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
@@ -32,11 +30,23 @@
 	Number   uint64   `json:"number"`   // 0 is no generation; the first is 1.
 	Members  []Member `json:"members"`  // Ordered by VM, one for each VM.
 	Previous []Member `json:"previous"` // Members of the generation before.
+
+	hashes []uint64 // Of the members' VMs; computed on the way where nil.
+}
+
+// Hashed returns the generation with its members' hashes kept, for many calls
+// of Holder.
+func (g Generation) Hashed() Generation {
+	g.hashes = make([]uint64, len(g.Members))
+	for i, m := range g.Members {
+		g.hashes[i] = hashVM(m)
+	}
+	return g
 }
 
 // Holder returns the member that holds a share.
 func (g Generation) Holder(id ShareID) Member {
-	return holderAmong(g.Members, id)
+	return holderAmong(g.Members, g.hashes, id)
 }
 
 // Predecessor returns the member that held a share in the generation before,
@@ -45,7 +55,7 @@
 	if len(g.Previous) == 0 {
 		return Member{}, false
 	}
-	return holderAmong(g.Previous, id), true
+	return holderAmong(g.Previous, nil, id), true
 }
 
 // Has reports whether m is a member.
@@ -66,17 +76,38 @@
 
 // holderAmong is rendezvous hashing: a change of one member moves only the
 // shares of that member.
-func holderAmong(members []Member, id ShareID) Member {
-	var best Member
+func holderAmong(members []Member, hashes []uint64, id ShareID) Member {
+	best := 0
 	var high uint64
-	key := string(id.Account) + "\x00" + strconv.Itoa(id.Index) + "\x00"
+	key := mix(xxhash.Sum64String(string(id.Account)) + uint64(id.Index))
 	for i, m := range members {
-		score := xxhash.Sum64String(key + string(m.VM))
+		hash := uint64(0)
+		if hashes != nil {
+			hash = hashes[i]
+		} else {
+			hash = hashVM(m)
+		}
+		score := mix(key ^ hash)
 		if i == 0 || score > high {
-			best, high = m, score
+			best, high = i, score
 		}
 	}
-	return best
+	if len(members) == 0 {
+		return Member{}
+	}
+	return members[best]
+}
+
+func hashVM(m Member) uint64 {
+	return xxhash.Sum64String(string(m.VM))
+}
+
+// mix is the finalizer of SplitMix64: each bit of x changes half of the result.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 func contains(members []Member, m Member) bool {
--- a/internal/policy/limit/move.go
+++ b/internal/policy/limit/move.go
@@ -50,7 +50,7 @@
 	if gen.Number != 1 || h.gen.Number != 0 {
 		return
 	}
-	h.gen = gen
+	h.gen = gen.Hashed()
 	h.alive = now
 	h.origins = map[Member]origin{h.self: {begun: true, full: true}}
 }
@@ -67,7 +67,7 @@
 		rest = origin{begun: true, since: now.Add(GrantLifetime)}
 		h.shares = make(map[ShareID]*Share)
 	}
-	h.gen = gen
+	h.gen = gen.Hashed()
 	h.out = make(map[Member]*Handover)
 	h.origins = h.awaited(now, rest)
 	if next {
--- a/internal/policy/limit/plan.go
+++ b/internal/policy/limit/plan.go
@@ -37,6 +37,7 @@
 	need    Parts
 	parts   []Part
 	shares  [Shares]shareView
+	holders [Shares]Member
 }
 
 // shareView is what a plan knows of one share.
@@ -45,6 +46,7 @@
 	asks     int   // How often it was asked.
 	skip     bool  // Not to be asked now.
 	answered bool  // The holder has answered with a balance.
+	fresh    bool  // What is left was answered a moment ago.
 }
 
 // NewPlan returns a plan for a number of tokens under a unique id.
@@ -52,13 +54,30 @@
 	p := &Plan{gen: gen, account: account, terms: terms, id: id, need: PartsOf(tokens)}
 	for i := range p.shares {
 		p.shares[i].left = Parts(terms.Burst)
+		p.holders[i] = gen.Holder(p.share(i))
 	}
 	return p
 }
 
-// Estimate tells what a share is thought to have left.
-func (p *Plan) Estimate(index int, left Parts) {
-	p.shares[index].left = left
+// Estimate tells what a share had left a while ago.
+func (p *Plan) Estimate(index int, left Parts, ago time.Duration) {
+	p.shares[index].left = p.terms.Estimate(left, ago)
+	p.shares[index].fresh = ago < FreshFor
+}
+
+// InVain reports whether fresh answers already show that the tokens are not
+// to be had, so that nobody needs to be asked.
+func (p *Plan) InVain() bool {
+	sum := Parts(0)
+	for _, view := range p.shares {
+		if !view.fresh && !view.skip {
+			return false
+		}
+		if !view.skip {
+			sum += view.left
+		}
+	}
+	return sum < p.need
 }
 
 // Skip leaves out a share whose holder does not answer.
@@ -68,7 +87,7 @@
 
 // HolderOf returns the member that holds one of the account's shares.
 func (p *Plan) HolderOf(index int) Member {
-	return p.gen.Holder(p.share(index))
+	return p.holders[index]
 }
 
 // Next returns the next request, or false where nothing is missing or nobody
@@ -169,7 +188,7 @@
 // Answered reports whether any holder has answered with a balance.
 func (p *Plan) Answered() bool {
 	for _, view := range p.shares {
-		if view.answered {
+		if view.answered || view.fresh {
 			return true
 		}
 	}
@@ -182,7 +201,7 @@
 	var left, most Parts
 	answered := 0
 	for _, view := range p.shares {
-		if !view.answered {
+		if !view.answered && !view.fresh {
 			continue
 		}
 		answered++
--- a/internal/policy/limit/terms.go
+++ b/internal/policy/limit/terms.go
@@ -11,6 +11,9 @@
 	Shares = 4
 	// GrantLifetime is how long after asking an asker may use an answer.
 	GrantLifetime = 200 * time.Millisecond
+	// FreshFor is how long an answer's balance is trusted to show that asking
+	// again is in vain.
+	FreshFor = 5 * time.Millisecond
 	// PauseLimit is how long a holder may be without a sign of its own life
 	// before it must confirm its generation. It is shorter than the time after
 	// which a process off the VM list counts as gone.
