--- a/cmd/hyssop-load/main.go
+++ b/cmd/hyssop-load/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/drive"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/endpoints"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/limits"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
@@ -19,6 +20,7 @@
 // experiments are the sub-commands.
 var experiments = []experiment.Experiment{
 	drive.New(),
+	endpoints.Experiment,
 	limits.New(),
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/callers"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/endpoints"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/gather"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
@@ -103,7 +104,7 @@
 	e.tree.Add(e.replica)
 	e.tree.Add(e.directory)
 	e.front.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
-	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(), time.Second))
+	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(client), time.Second))
 	e.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: e.opts.FleetListener, Grace: s.DrainTimeout})
 	admin := process.AdminHandler(e.ready, e.metrics)
 	e.tree.Add(process.NewHTTPServer("admin", e.opts.AdminListener, admin, time.Second))
@@ -134,6 +135,7 @@
 func (e *Entry) fleetHandler() http.Handler {
 	router := chi.NewRouter()
 	router.Mount(shares.PathPrefix, e.shares.Handler())
+	router.Mount(timeline.Path, timeline.NewHandler(e.ring))
 	return router
 }
 
@@ -165,11 +167,11 @@
 	})
 }
 
-func (e *Entry) operatorsHandler() http.Handler {
+func (e *Entry) operatorsHandler(client *transport.Client) http.Handler {
 	return operators.NewHandler(operators.Options{
 		Editor:   config.NewEditor(e.opts.Store),
 		Config:   e.replica.Current,
-		Timeline: e.ring,
+		Timeline: gather.NewHandler(gather.Options{VM: e.opts.Settings.VM, Ring: e.ring, Client: client, Directory: e.directory}),
 		Token:    e.opts.Settings.OperatorsToken,
 	})
 }
