--- a/internal/policy/limit/machine_test.go
+++ b/internal/policy/limit/machine_test.go
@@ -470,11 +470,32 @@
 	w.propose(w.rng.IntN(5) == 0)
 }
 
+// outlive pauses a process, lets the others take it for gone, and resumes it
+// while it still believes that it holds its shares.
+func (w *world) outlive() {
+	p := w.pick()
+	if p == nil || len(w.running()) < 2 || !w.listed[p.self.VM] {
+		return
+	}
+	w.storeUp = true
+	p.paused = true
+	w.listed[p.self.VM] = false
+	w.off[p.self.VM] = w.now
+	w.advance(goneAfter)
+	for range 3 {
+		w.progress()
+		w.advance(500 * time.Millisecond)
+	}
+	w.flood(5)
+	p.paused = false
+	w.flood(5)
+}
+
 // fault does one of the things that go wrong.
 func (w *world) fault() {
 	faults := []func(){
 		w.drop, func() { w.deliver(true) }, w.pause, w.pause, w.resume, w.unlist, w.unlist, w.restart, w.kill,
-		w.join, w.join, func() { w.storeUp = false }, func() { w.storeUp = true }, func() { w.storeUp = true },
+		w.join, w.join, w.outlive, w.outlive, func() { w.storeUp = false }, func() { w.storeUp = true }, func() { w.storeUp = true },
 	}
 	faults[w.rng.IntN(len(faults))]()
 	if len(w.running()) == 0 {
--- a/internal/policy/limit/rules_test.go
+++ b/internal/policy/limit/rules_test.go
@@ -53,6 +53,7 @@
 	}
 	b.Beat(start.Add(2 * time.Second))
 	b.Gone(start.Add(2*time.Second), first)
+	b.Reserve(start.Add(2*time.Second), ask(after, id, "at once", 1))
 	restart := start.Add(2*time.Second + GrantLifetime)
 	if got := b.Reserve(restart.Add(-1), ask(after, id, "wait", 1)); got.Amount != 0 {
 		t.Fatalf("gave %d parts while answers of the lost holder may be under way", got.Amount)
@@ -213,6 +214,20 @@
 	}
 }
 
+func TestAnswersAtTheEndOfTheirLifetimeAdmitNothing(t *testing.T) {
+	gen, holders := manyMembers(2)
+	plan := NewPlan(gen, "organisation-1", testTerms, "plan", testBurst)
+	for a, ok := plan.Next(Member{}); ok; a, ok = plan.Next(Member{}) {
+		plan.Take(start, start, a, holders[a.Holder].Reserve(start, a.Request))
+	}
+	if !plan.Admit(start.Add(GrantLifetime - 1)) {
+		t.Fatal("not admitted within the answers' lifetime")
+	}
+	if plan.Admit(start.Add(GrantLifetime)) {
+		t.Fatal("admitted at the end of the answers' lifetime")
+	}
+}
+
 func TestUseGivesBackExactlyWhatWasNotUsed(t *testing.T) {
 	parts := []Part{{Amount: 3}, {Amount: 40}, {Amount: 1}, {Amount: 16}}
 	for tokens := range int64(20) {
