--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
@@ -22,16 +21,13 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
-	"github.com/hyssoptiller/hyssoptiller/internal/fleet/gossip"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
-	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/shares"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
-	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
--- a/internal/experiment/limits/design.go
+++ b/internal/experiment/limits/design.go
@@ -134,9 +134,12 @@
 	plan := limit.NewPlan(self.Generation(), d.account, terms, idOf(a), a.tokens)
 	for i, h := range d.hints[entry] {
 		if h.known {
-			plan.Estimate(i, terms.Estimate(h.left, now-h.at))
+			plan.Estimate(i, h.left, now-h.at)
 		}
 	}
+	if plan.InVain() {
+		return false
+	}
 	for ask, ok := plan.Next(self.Self()); ok; ask, ok = plan.Next(self.Self()) {
 		if ask.Holder != self.Self() {
 			d.calls++
@@ -156,9 +159,22 @@
 		return false
 	}
 	d.parts[a.index] = plan.Parts()
+	d.tell(now, self, plan)
 	return true
 }
 
+func (d *design) tell(now time.Duration, self *limit.Holder, plan *limit.Plan) {
+	if !plan.Tell() {
+		return
+	}
+	for _, part := range plan.Parts() {
+		if part.Holder != self.Self() {
+			d.calls++
+		}
+		d.find(part.Holder).Admitted(at(now), part.Share, part.ID)
+	}
+}
+
 func (d *design) settle(now time.Duration, entry int, a arrival) {
 	self := d.holders[entry]
 	if self == nil {
--- a/internal/experiment/limits/limits.go
+++ b/internal/experiment/limits/limits.go
@@ -7,20 +7,31 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
+	"github.com/alecthomas/kingpin/v2"
+
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
 )
 
-// organisations is how many independent organisations a row sums up.
-const organisations = 20
+// flags chooses what is measured.
+type flags struct {
+	organisations int    // Independent organisations that a row sums up.
+	scenario      string // Only scenarios whose name has this in it.
+}
 
 // New returns the experiment.
 func New() experiment.Experiment {
+	f := &flags{}
 	return experiment.Experiment{
 		Name: "limits",
 		Help: "Counts wrongful refusals and violations of the fleet-wide rate and burst.",
-		Run:  run,
+		Flags: func(cmd *kingpin.CmdClause) {
+			cmd.Flag("organisations", "Independent organisations that a row sums up.").Default("20").IntVar(&f.organisations)
+			cmd.Flag("scenario", "Only scenarios whose name contains this.").StringVar(&f.scenario)
+		},
+		Run: func(_ context.Context, opts experiment.Options, out io.Writer) error { return f.run(opts, out) },
 	}
 }
 
@@ -47,6 +58,8 @@
 type counts struct {
 	requests  int
 	admitted  int
+	tokens    int64   // Used by what was admitted.
+	ownTokens int64   // Used by what a bucket of its own admitted.
 	wrongful  int     // Refused; a bucket that had admitted the same would have admitted it.
 	apart     int     // Refused; a bucket of its own on the same arrivals admitted it.
 	violation float64 // Tokens above the limit in the worst window.
@@ -56,34 +69,39 @@
 func (c *counts) add(o counts) {
 	c.requests += o.requests
 	c.admitted += o.admitted
+	c.tokens += o.tokens
+	c.ownTokens += o.ownTokens
 	c.wrongful += o.wrongful
 	c.apart += o.apart
 	c.violation = max(c.violation, o.violation)
 	c.calls += o.calls
 }
 
-func run(_ context.Context, opts experiment.Options, out io.Writer) error {
+func (f *flags) run(opts experiment.Options, out io.Writer) error {
 	heading := []string{
-		"scenario", "requests", "limiter", "number", "admitted %", "wrongful % (same history)",
+		"scenario", "requests", "limiter", "number", "admitted %", "tokens % of own bucket", "wrongful % (same history)",
 		"wrongful % (own bucket)", "tokens above limit", "calls/request",
 	}
 	var rows [][]string
 	for _, s := range scenarios {
+		if !strings.Contains(s.name, f.scenario) {
+			continue
+		}
 		for _, z := range requestSizes {
-			rows = append(rows, measure(s, z, opts.Seed)...)
+			rows = append(rows, f.measure(s, z, opts.Seed)...)
 		}
 	}
 	return experiment.Table(out, heading, rows)
 }
 
 // measure returns a row for each limiter.
-func measure(s scenario, z sizes, seed uint64) [][]string {
+func (f *flags) measure(s scenario, z sizes, seed uint64) [][]string {
 	totals := make(map[string]*counts)
 	order := []string{"shares", "split", "leased owner"}
 	for _, name := range order {
 		totals[name] = &counts{}
 	}
-	for org := range organisations {
+	for org := range f.organisations {
 		list := arrivalsOf(s, z, seed*1000+uint64(org))
 		d := newDesign(s, org)
 		c := replay(s, list, d)
@@ -106,7 +124,8 @@
 		calls = fmt.Sprintf("%.2f", float64(c.calls)/float64(c.requests))
 	}
 	return []string{
-		scenario, size, name, fmt.Sprint(c.requests), percent(c.admitted), percent(c.wrongful),
+		scenario, size, name, fmt.Sprint(c.requests), percent(c.admitted),
+		fmt.Sprintf("%.2f", 100*float64(c.tokens)/float64(c.ownTokens)), percent(c.wrongful),
 		percent(c.apart), fmt.Sprintf("%.0f", c.violation), calls,
 	}
 }
@@ -132,9 +151,13 @@
 		c.requests++
 		fits := follower.bucket.Fits(at(e.at), a.tokens)
 		ownFits := own.reserve(e.at, entry, a)
+		if ownFits {
+			c.ownTokens += a.used
+		}
 		if l.reserve(e.at, entry, a) {
 			admitted[e.arrival] = true
 			c.admitted++
+			c.tokens += a.used
 			follower.reserve(e.at, entry, a)
 			continue
 		}
