--- a/internal/entry/dispatch/fleet_test.go
+++ b/internal/entry/dispatch/fleet_test.go
@@ -40,6 +40,7 @@
 	t          *testing.T
 	net        *network
 	store      *store.Memory
+	list       *vmlist.Static
 	notices    *gossip.Notices
 	dispatcher *dispatch.Dispatcher
 	nodes      []*node
@@ -65,7 +66,7 @@
 func run(t *testing.T, test func(f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, net: newNetwork(), store: store.NewMemory(), notices: gossip.NewNotices()}
+		f := &fleet{t: t, net: newNetwork(), store: store.NewMemory(), list: vmlist.NewStatic(), notices: gossip.NewNotices()}
 		f.dispatcher = f.newDispatcher()
 		defer f.close()
 		test(f)
@@ -121,16 +122,41 @@
 	f.settle()
 }
 
+// addPlain adds an agent with another plain service under the same name.
+func (f *fleet) addPlain(h http.Handler) {
+	f.addNode(vmlist.VM{Role: vmlist.RolePlain, Service: "booking"}, h, nil)
+	f.settle()
+}
+
 // addEngines adds agents with engines.
 func (f *fleet) addEngines(n int, opts enginestandin.Options) {
+	f.addEnginesWith(n, opts, func(*agent.Settings) {})
+}
+
+func (f *fleet) addEnginesWith(n int, opts enginestandin.Options, change func(*agent.Settings)) {
 	for range n {
 		e := enginestandin.NewServer(opts)
 		f.engines = append(f.engines, e)
-		f.addNode(vmlist.VM{Role: vmlist.RoleEngine}, e, func(s *agent.Settings) { s.Slots = opts.Slots })
+		f.addNode(vmlist.VM{Role: vmlist.RoleEngine}, e, func(s *agent.Settings) {
+			s.Slots = opts.Slots
+			change(s)
+		})
 	}
 	f.settle()
 }
 
+// addSecondAgent starts another agent beside a node's endpoint.
+func (f *fleet) addSecondAgent(first *node, checks bool) {
+	n := &node{fleet: f, vm: first.vm, endpoint: first.endpoint, store: &severable{Store: f.store}}
+	n.vm.Address = "successor:1"
+	n.start(func(s *agent.Settings) {
+		s.Slots = plainEngine.Slots
+		s.ChecksFence = checks
+	})
+	f.nodes = append(f.nodes, n)
+	f.rows = append(f.rows, n.vm)
+}
+
 // settle lets starts, polls and background work finish.
 func (f *fleet) settle() {
 	time.Sleep(settleTime)
@@ -163,7 +189,7 @@
 		change(&settings)
 	}
 	a, err := agent.New(agent.Options{
-		Settings: settings, Store: n.store, Dial: n.fleet.net.dial,
+		Settings: settings, Store: n.store, VMList: n.fleet.list, Dial: n.fleet.net.dial,
 		FleetListener: n.fleet.net.listen(n.vm.Address), AdminListener: n.fleet.net.listen("admin-" + n.vm.Address),
 		Log: process.NewLogger(io.Discard, logrus.ErrorLevel, "test"),
 	})
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -106,7 +106,9 @@
 		base.Protocols.SetUnencryptedHTTP2(true)
 	}
 	signed := &signer{next: base, secret: s.Secret, clock: clock}
-	return &Client{HTTP: &http.Client{Transport: signed}, Scheme: scheme}, nil
+	// A redirect is an endpoint's answer on its way to a caller.
+	pass := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{HTTP: &http.Client{Transport: signed, CheckRedirect: pass}, Scheme: scheme}, nil
 }
 
 // NewServer returns a server for a process's fleet address.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -356,6 +356,7 @@
 	for i := range c.MaxTokens {
 		if i == breakAt {
 			_, _ = io.WriteString(w, `{"choices":[{"text":"`+text.String())
+			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
 		if !wait(r.Context(), life, s.opts.TokenTime) {
