--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,23 +16,30 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/drain"
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/fencing"
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/intake"
+	"github.com/hyssoptiller/hyssoptiller/internal/agent/permits"
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/schedule"
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/watch"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/shares"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/engine"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
+// vmListInterval is the time between two readings of the VM list.
+const vmListInterval = 2 * time.Second
+
 // Options configures New. The listeners are open; Serve closes them.
 type Options struct {
 	Settings      Settings
 	Store         store.Store
-	VMList        vmlist.List // Tells when the VM is leaving; not asked where nil.
+	VMList        vmlist.List // Tells when the VM is leaving and where the entries are; not asked where nil.
 	FleetListener net.Listener
 	AdminListener net.Listener
 	Log           *logrus.Entry
@@ -50,7 +57,8 @@
 	claims  *claims.Claims
 	watch   *watch.Watch
 	intake  *intake.Handler
-	tree    *suture.Supervisor
+	tree    *suture.Supervisor // What running work rests on.
+	front   *suture.Supervisor // Entries' listener; ends first.
 }
 
 // New builds the agent's supervisor tree.
@@ -58,6 +66,7 @@
 	if opts.Settings.ClaimRetention == 0 {
 		opts.Settings.ClaimRetention = DefaultClaimRetention
 	}
+	opts.Settings.setLoadDefaults()
 	s := opts.Settings
 	clock := hlc.New(nil)
 	a := &Agent{
@@ -69,28 +78,64 @@
 	}
 	endpoint := engine.NewClient(s.EndpointAddress, s.OrderTimeout, opts.Dial)
 	a.addGuards()
+	loads, err := a.loadPermits(clock)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	scheduler := schedule.New(schedule.Options{
 		Engine:   fencing.NewGuard(endpoint, a.fencing),
 		Fence:    a.fencing.Current,
-		Permits:  schedule.UnlimitedLoads{},
+		Permits:  loads,
 		Slots:    s.Slots,
 		Capacity: s.Capacity,
+		Grace:    s.DrainTimeout,
 		Log:      opts.Log,
 		Timeline: a.ring,
+		Metrics:  a.metrics.Scope,
 	})
 	a.addIntake(endpoint, scheduler)
 	router := chi.NewRouter()
 	router.Method("POST", wire.PathRun, a.intake)
+	router.Mount(timeline.Path, timeline.NewHandler(a.ring))
 	fleet, err := transport.NewServer(s.Security, clock, router)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	admin := process.AdminHandler(a.ready, a.metrics)
-	a.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: opts.FleetListener, Grace: s.DrainTimeout})
+	a.front = process.NewSupervisor("agent front", opts.Log, s.DrainTimeout)
+	a.front.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: opts.FleetListener, Grace: s.DrainTimeout})
+	a.tree.Add(scheduler)
 	a.tree.Add(process.NewHTTPServer("admin", opts.AdminListener, admin, time.Second))
 	return a, nil
 }
 
+// loadPermits returns what rations adapter loads over the fleet. Without a VM
+// list there is no entry to ask, and loads are not rationed.
+func (a *Agent) loadPermits(clock *hlc.Clock) (schedule.LoadPermits, error) {
+	s := a.opts.Settings
+	if a.opts.VMList == nil {
+		return schedule.UnlimitedLoads{}, nil
+	}
+	client, err := transport.NewClient(s.Security, clock, a.opts.Dial)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	entries := directory.New(directory.Options{List: a.opts.VMList, Interval: vmListInterval, Log: a.opts.Log})
+	asker := shares.NewAsker(shares.AskerOptions{
+		Self:    limit.Member{VM: s.VM, Incarnation: limit.Incarnation(time.Now().UnixNano())},
+		Client:  client,
+		Peers:   shares.FromDirectory(entries),
+		Metrics: a.metrics.Scope,
+	})
+	a.tree.Add(entries)
+	a.tree.Add(asker)
+	return permits.New(permits.Options{
+		Reserver: asker,
+		Limits:   permits.Limits{PerSecond: s.LoadsPerSecond, InFlight: s.LoadsInFlight},
+		Metrics:  a.metrics.Scope,
+	}), nil
+}
+
 // addGuards adds what decides whether the agent may take and order work.
 func (a *Agent) addGuards() {
 	s := a.opts.Settings
@@ -136,20 +181,19 @@
 	defer a.metrics.Close()
 	a.ring.Record(timeline.Event{Kind: timeline.KindProcessStarted})
 	a.ready.Set()
-	tree, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	done := a.tree.ServeBackground(tree)
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
+	err := process.NewStages(a.tree, a.front).Serve(ctx, a.drain)
+	a.flushClaims(ctx)
+	return err
+}
+
+func (a *Agent) drain() {
 	a.gate.Set(drain.ReasonSignal, true)
 	a.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
-	stop()
-	<-done
+}
+
+// flushClaims writes the outcomes that are still to be stored.
+func (a *Agent) flushClaims(ctx context.Context) {
 	flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.opts.Settings.DrainTimeout)
 	defer cancel()
 	a.claims.Flush(flush)
-	return nil
 }
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -16,7 +16,6 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
-	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
@@ -29,6 +28,7 @@
 	ErrInvalid      = errors.ConstError("not accepted")
 	ErrConflict     = errors.ConstError("conflict")
 	ErrUnavailable  = errors.ConstError("not possible now")
+	ErrNotInForce   = errors.ConstError("stored, but not in force at a majority of the entries")
 )
 
 // Client calls the operators' interface of one entry.
@@ -107,10 +107,10 @@
 	return out, err
 }
 
-// Timeline returns the events of the fleet.
-func (c *Client) Timeline(ctx context.Context) ([]timeline.Event, error) {
-	var out []timeline.Event
-	err := c.json(ctx, http.MethodGet, "/timeline", &out)
+// Status returns the state of the fleet as one entry knows it.
+func (c *Client) Status(ctx context.Context) (operators.Status, error) {
+	var out operators.Status
+	err := c.json(ctx, http.MethodGet, "/status", &out)
 	return out, err
 }
 
--- a/internal/entry/callers/completions.go
+++ b/internal/entry/callers/completions.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/endpoints"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
@@ -35,7 +36,7 @@
 		h.refuse(c, refused)
 		return
 	}
-	body, refused := h.readBody(c)
+	body, refused := h.readRequest(c)
 	if refused != nil {
 		h.refuse(c, refused)
 		return
@@ -82,6 +83,7 @@
 			Weight:         c.tenant.Weight,
 			Cost:           promptTokens(body) + maxTokens,
 			Stream:         fields.Stream,
+			Prefix:         endpoints.Prefix(c.tenant.Organisation, body),
 		},
 	}, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
@@ -15,17 +16,22 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/admission"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/callers"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/endpoints"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/gather"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/gossip"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/shares"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -53,7 +59,10 @@
 	directory *directory.Directory
 	running   *running.Index
 	notices   *gossip.Notices
-	tree      *suture.Supervisor
+	shares    *shares.Keeper
+	asker     *shares.Asker
+	tree      *suture.Supervisor // What callers' requests rest on.
+	front     *suture.Supervisor // Callers' listener; ends first.
 }
 
 // New builds the entry's supervisor tree.
@@ -72,6 +81,7 @@
 		running:   running.NewIndex(),
 		notices:   gossip.NewNotices(),
 		tree:      process.NewSupervisor("entry", opts.Log, s.DrainTimeout),
+		front:     process.NewSupervisor("entry front", opts.Log, s.DrainTimeout),
 	}
 	e.replica.OnChange(e.configChanged)
 	if err := e.addServices(); err != nil {
@@ -86,33 +96,66 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	fleet, err := transport.NewServer(s.Security, e.clock, http.NotFoundHandler())
+	e.addShares(client)
+	fleet, err := transport.NewServer(s.Security, e.clock, e.fleetHandler())
 	if err != nil {
 		return errors.Trace(err)
 	}
 	e.tree.Add(e.replica)
 	e.tree.Add(e.directory)
-	e.tree.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
-	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(), time.Second))
+	e.front.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
+	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(client), time.Second))
 	e.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: e.opts.FleetListener, Grace: s.DrainTimeout})
 	admin := process.AdminHandler(e.ready, e.metrics)
 	e.tree.Add(process.NewHTTPServer("admin", e.opts.AdminListener, admin, time.Second))
 	return nil
 }
 
+// addShares adds what counts tokens over all VMs.
+func (e *Entry) addShares(client *transport.Client) {
+	s := e.opts.Settings
+	self := members.Member{
+		VM: s.VM, Address: e.opts.FleetListener.Addr().String(), FailureDomain: s.FailureDomain, Region: s.Region,
+		Incarnation: members.Incarnation(time.Now().UnixNano()),
+	}
+	view := members.NewListed(self, e.directory)
+	holder := limit.Member{VM: self.VM, Incarnation: limit.Incarnation(self.Incarnation)}
+	e.shares = shares.NewKeeper(shares.KeeperOptions{
+		Self: holder, Members: view, Store: e.opts.Store, Client: client,
+		Log: e.opts.Log, Timeline: e.ring, Metrics: e.metrics.Scope,
+	})
+	e.asker = shares.NewAsker(shares.AskerOptions{
+		Self: holder, Keeper: e.shares, Client: client, Peers: shares.FromView(view), Metrics: e.metrics.Scope,
+	})
+	e.tree.Add(e.shares)
+	e.tree.Add(e.asker)
+}
+
+// fleetHandler serves the other processes of the fleet.
+func (e *Entry) fleetHandler() http.Handler {
+	router := chi.NewRouter()
+	router.Mount(shares.PathPrefix, e.shares.Handler())
+	router.Mount(timeline.Path, timeline.NewHandler(e.ring))
+	return router
+}
+
 func (e *Entry) callersHandler(client *transport.Client) http.Handler {
 	s := e.opts.Settings
 	dispatcher := dispatch.New(dispatch.Options{
-		Client:    client,
-		Endpoints: &dispatch.Rendezvous{Directory: e.directory},
-		Timeline:  e.ring,
-		Metrics:   e.metrics.Scope,
-		Notices:   e.notices,
+		Client: client,
+		Endpoints: endpoints.New(endpoints.Options{
+			Directory: e.directory,
+			Placement: endpoints.DefaultPlacement(),
+			Metrics:   e.metrics.Scope,
+		}),
+		Timeline: e.ring,
+		Metrics:  e.metrics.Scope,
+		Notices:  e.notices,
 	})
 	return callers.NewHandler(callers.Options{
 		Config:       e.replica.Current,
 		Freshness:    alwaysFresh{},
-		Limiter:      admission.NewLocal(),
+		Limiter:      admission.NewFleet(e.asker, e.replica.Current),
 		Dispatcher:   dispatcher,
 		Running:      e.running,
 		Timeline:     e.ring,
@@ -124,11 +167,11 @@
 	})
 }
 
-func (e *Entry) operatorsHandler() http.Handler {
+func (e *Entry) operatorsHandler(client *transport.Client) http.Handler {
 	return operators.NewHandler(operators.Options{
 		Editor:   config.NewEditor(e.opts.Store),
 		Config:   e.replica.Current,
-		Timeline: e.ring,
+		Timeline: gather.NewHandler(gather.Options{VM: e.opts.Settings.VM, Ring: e.ring, Client: client, Directory: e.directory}),
 		Token:    e.opts.Settings.OperatorsToken,
 	})
 }
@@ -144,24 +187,18 @@
 
 // Serve runs the entry until ctx ends, then drains: /readyz fails, the
 // balancer gets the drain delay to notice, and running requests finish within
-// the drain timeout.
+// the drain timeout while keys and configuration are still watched.
 func (e *Entry) Serve(ctx context.Context) error {
 	defer e.metrics.Close()
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessStarted})
-	tree, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	done := e.tree.ServeBackground(tree)
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
+	return process.NewStages(e.tree, e.front).Serve(ctx, e.drain)
+}
+
+func (e *Entry) drain() {
 	e.ready.Not("draining")
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
+	e.shares.Leave(context.Background())
 	time.Sleep(e.opts.Settings.DrainDelay)
-	stop()
-	<-done
-	return nil
 }
 
 // alwaysFresh trusts the configuration whatever its age.
@@ -172,5 +209,5 @@
 
 // Ready reports whether the entry can serve callers.
 func (e *Entry) Ready() bool {
-	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero()
+	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero() && e.shares.Ready()
 }
