--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -83,15 +83,17 @@
 		return nil, errors.Trace(err)
 	}
 	scheduler := schedule.New(schedule.Options{
-		Engine:   fencing.NewGuard(endpoint, a.fencing),
-		Fence:    a.fencing.Current,
-		Permits:  loads,
-		Slots:    s.Slots,
-		Capacity: s.Capacity,
-		Grace:    s.DrainTimeout,
-		Log:      opts.Log,
-		Timeline: a.ring,
-		Metrics:  a.metrics.Scope,
+		Engine: fencing.NewGuard(endpoint, a.fencing),
+		Fence:  a.fencing.Current,
+		// Fencing knows what may be ordered from an endpoint that does not check.
+		ChecksFence: true,
+		Permits:     loads,
+		Slots:       s.Slots,
+		Capacity:    s.Capacity,
+		Grace:       s.DrainTimeout,
+		Log:         opts.Log,
+		Timeline:    a.ring,
+		Metrics:     a.metrics.Scope,
 	})
 	a.addIntake(endpoint, scheduler)
 	router := chi.NewRouter()
