--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -49,12 +49,14 @@
 	return end
 }
 
-// outcome tells the two ways apart in which an attempt goes without an answer.
+// outcome tells an agent that refused, so that nothing ran, from an agent or
+// endpoint that failed.
 func (a *attempt) outcome(end ended) Outcome {
-	if end.kind == retry.KindTurnedAway || end.kind == retry.KindFinal {
-		return OutcomeRefused
+	r := end.result.Refusal
+	if r == nil || r.Ran != refusal.RanNo || r.Code == refusal.CodeEndpointFailed {
+		return OutcomeFailed
 	}
-	return OutcomeFailed
+	return OutcomeRefused
 }
 
 func (a *attempt) run(ctx context.Context) ended {
--- a/internal/entry/dispatch/leaving_test.go
+++ b/internal/entry/dispatch/leaving_test.go
@@ -14,7 +14,7 @@
 // leave are the ways in which an endpoint is told to leave.
 var leave = map[string]func(f *fleet){
 	"agent's own signal": func(f *fleet) { f.nodes[0].stop() },
-	"engine's word": func(f *fleet) { f.engines[0].SetDraining(true) },
+	"engine's word":      func(f *fleet) { f.engines[0].SetDraining(true) },
 }
 
 func TestLeavingEndpointFinishesAndTakesNoNewWork(t *testing.T) {
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -27,8 +27,8 @@
 	readHeaderTimeout = 10 * time.Second
 	// A silent connection is asked for a sign of life, so that a process that
 	// was stopped does not hold its callers until their deadlines.
-	pingAfter   = 2 * time.Second
-	pingTimeout = 3 * time.Second
+	pingAfter   = 5 * time.Second
+	pingTimeout = 10 * time.Second
 )
 
 // Errors of Security.Check.
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -4,8 +4,8 @@
 // alone among suspects, so a crash during that run speaks against it and not
 // against the other suspects of the first crash. The second crash quarantines
 // the request for a bounded time. Since such a request crashes each endpoint
-// that runs it, one run that ends without a crash clears it, and a request
-// that has ended well of late is no suspect at all.
+// that runs it, one run that ends without a crash clears it, and each run that
+// has ended well of late excuses one crash, up to a few.
 //
 // The package is pure: time is an argument and the caller holds the locks.
 package quarantine
@@ -46,6 +46,7 @@
 // Limits bound what a Ledger keeps.
 type Limits struct {
 	Crashes    int           // Crashes that quarantine a request.
+	Excused    int           // Crashes that earlier good runs can excuse.
 	Suspicion  time.Duration // How long a crash is remembered.
 	Quarantine time.Duration // How long a request is refused.
 	MaxTracked int           // Requests that are remembered at once.
@@ -53,7 +54,9 @@
 
 // DefaultLimits returns the limits of one entry.
 func DefaultLimits() Limits {
-	return Limits{Crashes: 2, Suspicion: 10 * time.Minute, Quarantine: 10 * time.Minute, MaxTracked: 4096}
+	return Limits{
+		Crashes: 2, Excused: 3, Suspicion: 10 * time.Minute, Quarantine: 10 * time.Minute, MaxTracked: 4096,
+	}
 }
 
 // Verdict says how a request may run.
@@ -96,6 +99,7 @@
 type record struct {
 	id      Fingerprint
 	crashes int // 0 for a request that ended well.
+	good    int // Good runs that can each excuse a crash.
 	onTrial bool
 	until   time.Time // End of the quarantine; zero where there is none.
 	expires time.Time // When the record is forgotten.
@@ -151,6 +155,7 @@
 		return
 	}
 	r.crashes = 0
+	r.good = min(r.good+1, l.limits.Excused)
 	l.touch(r, now.Add(l.limits.Suspicion))
 }
 
@@ -170,8 +175,9 @@
 	r := l.find(id, now)
 	if r == nil {
 		r = l.add(id, now)
-	} else if r.crashes == 0 {
-		return time.Time{}, false // It ended well of late: another request crashed the endpoint.
+	} else if r.good > 0 {
+		r.good--
+		return time.Time{}, false
 	}
 	r.crashes++
 	l.touch(r, now.Add(l.limits.Suspicion))
--- /dev/null
+++ b/internal/policy/retry/retry_test.go
@@ -0,0 +1,95 @@
+package retry
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
+)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if flag.Lookup(name) != nil {
+			_ = flag.Set(name, value)
+		}
+	}
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func drawAttempt(t *rapid.T) Attempt {
+	return Attempt{
+		Kind:       Kind(rapid.IntRange(0, 3).Draw(t, "kind")),
+		Ran:        rapid.SampledFrom([]refusal.Ran{refusal.RanNo, refusal.RanYes, refusal.RanUnknown}).Draw(t, "ran"),
+		Idempotent: rapid.Bool().Draw(t, "idempotent"),
+		Passed:     rapid.Bool().Draw(t, "passed"),
+		Number:     rapid.IntRange(1, 6).Draw(t, "number"),
+		Untried:    rapid.IntRange(0, 3).Draw(t, "untried"),
+		Left:       time.Duration(rapid.IntRange(-100, 1000).Draw(t, "left")) * time.Millisecond,
+	}
+}
+
+func TestNothingUnsafeIsTriedAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := drawAttempt(t)
+		limits := DefaultLimits()
+		again, reason := Decide(limits, a, NewBudget(DefaultBudget(), start), start)
+		if !again {
+			return
+		}
+		switch {
+		case !a.Idempotent && a.Ran != refusal.RanNo:
+			t.Fatalf("%+v may have run and is tried again: %s", a, reason)
+		case a.Passed:
+			t.Fatalf("%+v has reached the caller and is tried again: %s", a, reason)
+		case a.Number >= limits.MaxAttempts || a.Untried == 0 || a.Left < limits.MinLeft || a.Kind == KindFinal:
+			t.Fatalf("%+v is tried again: %s", a, reason)
+		}
+	})
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := DefaultBudget()
+		b := NewBudget(limits, start)
+		now := start
+		requests, taken := 0, 0
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				requests++
+			} else if b.Take(now) {
+				taken++
+			}
+			bound := limits.Burst + limits.Ratio*float64(requests) + limits.PerSecond*now.Sub(start).Seconds()
+			if float64(taken) > bound {
+				t.Fatalf("%d retries after %d requests in %v", taken, requests, now.Sub(start))
+			}
+		}
+	})
+}
+
+func TestWhatTookNoWorkIsNotCharged(t *testing.T) {
+	empty := NewBudget(BudgetLimits{}, start)
+	for kind, want := range map[Kind]bool{KindUnreached: true, KindTurnedAway: true, KindFailed: false} {
+		a := Attempt{Kind: kind, Ran: refusal.RanNo, Number: 1, Untried: 1, Left: time.Minute}
+		if again, reason := Decide(DefaultLimits(), a, empty, start); again != want {
+			t.Errorf("kind %d without budget: %t, %s", kind, again, reason)
+		}
+	}
+}
+
+func TestWorstNeverPromisesTooMuch(t *testing.T) {
+	no, yes, unknown := refusal.RanNo, refusal.RanYes, refusal.RanUnknown
+	for _, tt := range []struct{ a, b, want refusal.Ran }{
+		{no, no, no}, {no, unknown, unknown}, {unknown, yes, yes}, {yes, no, yes},
+	} {
+		if Worst(tt.a, tt.b) != tt.want || Worst(tt.b, tt.a) != tt.want {
+			t.Errorf("worst of %s and %s is %s", tt.a, tt.b, Worst(tt.a, tt.b))
+		}
+	}
+}
