Loads go first to builds that most work waits for

Cause: with 3 to 4 loads a second for the whole fleet, a load for one waiting attempt costs as much as one for ten; the order was that of the first waiting attempt alone. Change: a build moves up by three times the work that waits for it.

--- a/internal/policy/fairqueue/pop.go
+++ b/internal/policy/fairqueue/pop.go
@@ -116,37 +116,64 @@
 	return out
 }
 
-// Wanted returns up to limit different builds of waiting attempts in the order
-// in which the attempts would run if all builds were resident: organisations
-// take turns by their virtual time.
+// workGain is how many tokens earlier a build is loaded for each token of work
+// that waits for it.
+const workGain = 3
+
+// wish is a build that attempts wait for.
+type wish struct {
+	build slots.Build
+	start float64 // Virtual start of the first of them.
+	work  float64 // Tokens by weight of all of them.
+}
+
+// Wanted returns up to limit different builds of waiting attempts, the most
+// urgent to load first. A build is as urgent as the virtual start of its first
+// attempt, were all builds resident, less the work that waits for it, so that
+// scarce loads go where they let most work run.
 func (q *Queue) Wanted(now time.Time, limit int) []slots.Build {
-	type turn struct {
-		at    float64
-		entry *waiting
-	}
-	var turns []turn
+	wishes := make(map[slots.Build]*wish)
 	for _, f := range q.inOrder() {
-		items := append([]*waiting(nil), f.items...)
-		sort.Slice(items, func(i, j int) bool { return q.goesBefore(now, items[i], items[j]) })
-		at := f.virtual
-		for _, w := range items {
-			turns = append(turns, turn{at: at, entry: w})
-			at += float64(w.Tokens) / float64(f.weight)
-		}
+		q.wishesOf(now, f, wishes)
 	}
-	sort.SliceStable(turns, func(i, j int) bool { return turns[i].at < turns[j].at })
-	seen := make(map[slots.Build]bool)
-	var out []slots.Build
-	for _, t := range turns {
-		b := t.entry.Build
-		if b == (slots.Build{}) || seen[b] {
-			continue
-		}
-		seen[b] = true
-		out = append(out, b)
-		if len(out) == limit {
-			break
-		}
+	list := make([]*wish, 0, len(wishes))
+	for _, w := range wishes {
+		list = append(list, w)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].before(list[j]) })
+	out := make([]slots.Build, 0, min(limit, len(list)))
+	for _, w := range list[:min(limit, len(list))] {
+		out = append(out, w.build)
 	}
 	return out
 }
+
+func (q *Queue) wishesOf(now time.Time, f *flow, wishes map[slots.Build]*wish) {
+	items := append([]*waiting(nil), f.items...)
+	sort.Slice(items, func(i, j int) bool { return q.goesBefore(now, items[i], items[j]) })
+	start := f.virtual
+	for _, item := range items {
+		length := float64(item.Tokens) / float64(f.weight)
+		if item.Build != (slots.Build{}) {
+			w, ok := wishes[item.Build]
+			if !ok {
+				w = &wish{build: item.Build, start: start}
+				wishes[item.Build] = w
+			}
+			w.start = min(w.start, start)
+			w.work += length
+		}
+		start += length
+	}
+}
+
+func (w *wish) before(o *wish) bool {
+	a, b := w.start-workGain*w.work, o.start-workGain*o.work
+	if a != b {
+		return a < b
+	}
+	if w.build.Adapter != o.build.Adapter {
+		return w.build.Adapter < o.build.Adapter
+	}
+	return w.build.Version < o.build.Version
+}
--- a/internal/policy/slots/slots.go
+++ b/internal/policy/slots/slots.go
@@ -285,10 +285,10 @@
 	if !ok || !e.forgettable() || len(m.entries) <= m.config.Slots+m.config.Remembered {
 		return
 	}
-	least, leastUsed := b, e.lastUsed
+	least := b
 	for other, o := range m.entries {
-		if o.forgettable() && o.lastUsed.Before(leastUsed) {
-			least, leastUsed = other, o.lastUsed
+		if o.forgettable() && m.olderThan(other, least) {
+			least = other
 		}
 	}
 	delete(m.entries, least)
@@ -297,6 +297,14 @@
 	}
 }
 
+func (m *Machine) olderThan(a, b Build) bool {
+	ta, tb := m.entries[a].lastUsed, m.entries[b].lastUsed
+	if !ta.Equal(tb) {
+		return ta.Before(tb)
+	}
+	return before(a, b)
+}
+
 func (e *entry) forgettable() bool {
 	return e.state == StateAbsent && e.idle()
 }
--- a/internal/policy/slots/slots_test.go
+++ b/internal/policy/slots/slots_test.go
@@ -164,8 +164,10 @@
 	switch d.order.Kind {
 	case KindList:
 		d.ok = true
-		for b := range w.held {
-			d.held = append(d.held, b)
+		for i := range testBuilds {
+			if w.held[build(i)] {
+				d.held = append(d.held, build(i))
+			}
 		}
 	case KindLoad:
 		d.ok = !fails
@@ -219,8 +221,8 @@
 func (w *world) restart() {
 	w.boot++
 	w.held = make(map[Build]bool)
-	for _, uses := range w.uses {
-		w.stale = append(w.stale, uses...)
+	for i := range testBuilds {
+		w.stale = append(w.stale, w.uses[build(i)]...)
 	}
 	w.uses = make(map[Build][]Use)
 }
@@ -236,8 +238,8 @@
 			w.end(d, false)
 		}
 		w.forget()
-		for b := range w.uses {
-			w.finish(b)
+		for i := range testBuilds {
+			w.finish(build(i))
 		}
 		w.now = w.now.Add(time.Minute)
 		if err := w.pump(); err != nil {
