Eviction weighs decayed demand by load time

Cause: the recency term (one by the idle time) outweighed demand for every build used in the last minute, so that eviction was close to least recently used. Change: the demand with a half-life of a minute alone says how soon a build is needed again; it already lets recent uses count most.

--- a/internal/policy/slots/evict.go
+++ b/internal/policy/slots/evict.go
@@ -7,7 +7,6 @@
 	Build      Build
 	Age        time.Duration // Since its last use.
 	Demand     float64       // Uses, each weighing half after a half-life.
-	HalfLife   time.Duration // Of Demand.
 	LoadTime   time.Duration // Of its last load; zero where none was seen.
 	Superseded bool          // Whether another version of the adapter was asked for later.
 }
@@ -16,16 +15,12 @@
 // least worth is unloaded first.
 type EvictionRule func(Idle) float64
 
-const (
-	// unseenLoadTime stands for the load time of a build that the engine held
-	// before the machine began.
-	unseenLoadTime = 250 * time.Millisecond
-	// minAge bounds the worth of a build that was used just now.
-	minAge = 10 * time.Millisecond
-)
+// unseenLoadTime stands for the load time of a build that the engine held
+// before the machine began.
+const unseenLoadTime = 250 * time.Millisecond
 
-// ByValue weighs how soon a build is likely to be used again, from its demand
-// and its recency, by the time of loading it again.
+// ByValue weighs the demand for a build, in which recent uses count most, by the
+// time of loading it again.
 func ByValue(i Idle) float64 {
 	if i.Superseded {
 		return 0
@@ -34,9 +29,7 @@
 	if loadTime == 0 {
 		loadTime = unseenLoadTime
 	}
-	rate := i.Demand / i.HalfLife.Seconds()
-	recency := 1 / max(i.Age, minAge).Seconds()
-	return (rate + recency) * loadTime.Seconds()
+	return i.Demand * loadTime.Seconds()
 }
 
 // LeastRecentlyUsed unloads the build that has been idle longest.
@@ -66,7 +59,6 @@
 		Build:      b,
 		Age:        now.Sub(e.lastUsed),
 		Demand:     e.demand.read(now, m.config.DemandHalfLife),
-		HalfLife:   m.config.DemandHalfLife,
 		LoadTime:   e.loadTime,
 		Superseded: e.superseded,
 	}
