--- a/internal/agent/schedule/service.go
+++ b/internal/agent/schedule/service.go
@@ -28,7 +28,7 @@
 	failureBackoff   = time.Second
 	maxBackoff       = 30 * time.Second
 	repeatDelay      = 250 * time.Millisecond
-	demandHalfLife   = time.Minute
+	demandHalfLife   = 30 * time.Second
 	rememberedBuilds = 256
 	wantedBuilds     = 16
 	// slotPatience is the time that an attempt waits while every slot is in use.
