A load counts a thousand tokens in its organisation's share

Cause: the flooding organisation's rare adapters took most of the scarce loads, which the fair queue did not count. Change: a load is charged to the organisation that made it urgent.

--- a/internal/agent/schedule/orders.go
+++ b/internal/agent/schedule/orders.go
@@ -120,6 +120,7 @@
 	release := func() {}
 	if o.Kind == slots.KindLoad {
 		release = s.takePermit()
+		s.queue.ChargeLoad(o.Build)
 	}
 	s.inFlight.Go(func() {
 		if o.Kind == slots.KindList {
--- a/internal/agent/schedule/service.go
+++ b/internal/agent/schedule/service.go
@@ -23,6 +23,7 @@
 	maxBypass        = 4
 	maxLeadTokens    = 4_000
 	maxLagTokens     = 50_000
+	loadTokens       = 1_000
 	rateHalfLife     = 10 * time.Second
 	maxLoads         = 2
 	failureBackoff   = time.Second
@@ -114,6 +115,7 @@
 		MaxBypass:    maxBypass,
 		MaxLead:      maxLeadTokens,
 		MaxLag:       maxLagTokens,
+		LoadTokens:   loadTokens,
 		RateHalfLife: rateHalfLife,
 	}
 }
--- a/internal/experiment/endpoints/agent.go
+++ b/internal/experiment/endpoints/agent.go
@@ -229,6 +229,7 @@
 		a.run.clock.after(unloadTime, done)
 	case slots.KindLoad:
 		a.permits--
+		a.queue.ChargeLoad(o.Build)
 		a.run.loads++
 		a.run.store.load(done)
 	}
--- a/internal/policy/fairqueue/fairqueue.go
+++ b/internal/policy/fairqueue/fairqueue.go
@@ -30,6 +30,7 @@
 	MaxBypass    int           // Attempts of a running build that may pass one attempt.
 	MaxLead      float64       // Tokens by weight that an organisation may be ahead of the one it passes.
 	MaxLag       float64       // Tokens by weight that an organisation whose attempts could not run may catch up on.
+	LoadTokens   float64       // Tokens that a load counts for in its organisation's share.
 	RateHalfLife time.Duration // Of the measured service rate.
 }
 
--- a/internal/policy/fairqueue/pop.go
+++ b/internal/policy/fairqueue/pop.go
@@ -177,3 +177,16 @@
 	}
 	return w.build.Version < o.build.Version
 }
+
+// ChargeLoad charges a load of the build to the organisation whose attempt made
+// it urgent: loads are scarce as turns are, and count in its share.
+func (q *Queue) ChargeLoad(b slots.Build) {
+	for _, f := range q.inOrder() {
+		for _, w := range f.items {
+			if w.Build == b {
+				f.virtual += q.config.LoadTokens / float64(f.weight)
+				return
+			}
+		}
+	}
+}
