--- a/internal/agent/schedule/service.go
+++ b/internal/agent/schedule/service.go
@@ -25,7 +25,7 @@
 	maxLagTokens     = 50_000
 	loadTokens       = 1_000
 	rateHalfLife     = 10 * time.Second
-	maxLoads         = 2
+	maxLoads         = 1
 	failureBackoff   = time.Second
 	maxBackoff       = 30 * time.Second
 	repeatDelay      = 250 * time.Millisecond
