--- a/internal/experiment/endpoints/systems.go
+++ b/internal/experiment/endpoints/systems.go
@@ -25,7 +25,7 @@
 }
 
 // Rules by which a system chooses endpoints, best first.
-var systemsAll = []system{
+var systems = []system{
 	{name: "hyssoptiller", choose: chooseByPlacement},
 	{name: "random endpoint", choose: chooseAtRandom, fifo: true, lru: true},
 	{name: "least loaded", choose: chooseLeastLoaded, fifo: true, lru: true},
@@ -131,5 +131,3 @@
 
 // simulatedTime keeps durations of a run apart from those of the machine.
 type simulatedTime = time.Duration
-
-var systems = systemsAll[:1]
--- a/internal/experiment/endpoints/workload.go
+++ b/internal/experiment/endpoints/workload.go
@@ -12,7 +12,6 @@
 
 const (
 	adapters       = 3000
-	zipfExponent   = 1.3
 	promptTokens   = 300
 	meanOutput     = 150
 	maxOutput      = 1200
@@ -57,16 +56,23 @@
 	flood  float64       // Times its rate that one organisation sends.
 	from   time.Duration // Of the flood.
 	to     time.Duration
+	// Rate is a multiple of the deployment's rate, 1 in normal running.
+	rate float64
+	zipf float64 // Exponent of the popularity.
 }
 
 var scenarios = []scenario{
 	{
 		name: "day", length: 600 * time.Second, warmUp: 60 * time.Second, shift: 300 * time.Second,
-		flood: 4, from: 400 * time.Second, to: 500 * time.Second,
+		flood: 4, from: 400 * time.Second, to: 500 * time.Second, rate: 1, zipf: 1.3,
 	},
 	{
 		name: "flood", length: 300 * time.Second, warmUp: 60 * time.Second, shift: 180 * time.Second,
-		flood: 10, from: 60 * time.Second, to: 300 * time.Second,
+		flood: 10, from: 60 * time.Second, to: 300 * time.Second, rate: 1, zipf: 1.3,
+	},
+	{
+		name: "busy engines", length: 240 * time.Second, warmUp: 60 * time.Second, shift: 240 * time.Second,
+		flood: 10, from: 60 * time.Second, to: 240 * time.Second, rate: 2.5, zipf: 2,
 	},
 }
 
@@ -107,11 +113,11 @@
 // arrivals makes the requests of a run from its seed.
 func arrivals(d deployment, s scenario, seed uint64) []*request {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	popular := newZipf(adapters / len(d.shares))
+	popular := newZipf(adapters/len(d.shares), s.zipf)
 	var out []*request
 	for org, share := range d.shares {
-		buckets := bucket{rate: d.rate * share * float64(promptTokens+meanOutput), at: 0}
-		for at := range poisson(rng, s, d.rate*share, org) {
+		buckets := bucket{rate: d.rate * s.rate * share * (promptTokens + meanOutput)}
+		for at := range poisson(rng, s, d.rate*s.rate*share, org) {
 			r := completion(rng, d, s, popular, org, at)
 			r.entitled = buckets.take(at, float64(r.tokens()))
 			out = append(out, r)
@@ -169,11 +175,11 @@
 // zipf draws ranks with a probability that falls with their power.
 type zipf []float64
 
-func newZipf(n int) zipf {
+func newZipf(n int, exponent float64) zipf {
 	out := make(zipf, n)
 	sum := 0.0
 	for i := range out {
-		sum += math.Pow(float64(i+1), -zipfExponent)
+		sum += math.Pow(float64(i+1), -exponent)
 		out[i] = sum
 	}
 	for i := range out {
--- /dev/null
+++ b/internal/policy/fairqueue/fairqueue_test.go
@@ -0,0 +1,326 @@
+package fairqueue
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/slots"
+)
+
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if flag.Lookup(name) != nil {
+			_ = flag.Set(name, value)
+		}
+	}
+}
+
+const (
+	testMaxTokens = 500
+	testMaxLead   = 1000
+)
+
+var start = time.Unix(1000, 0)
+
+func testConfig() Config {
+	return Config{
+		MaxItems: 64, Concurrency: 4, AgingStep: time.Second, MaxBypass: 3,
+		MaxLead: testMaxLead, MaxLag: 1e9, RateHalfLife: 10 * time.Second,
+	}
+}
+
+func org(i int) ident.Organisation {
+	return ident.Organisation(fmt.Sprintf("org-%d", i))
+}
+
+func buildOf(i int) slots.Build {
+	return slots.Build{Adapter: ident.Adapter(fmt.Sprintf("a%d", i)), Version: "v1"}
+}
+
+func ready(Item) Fit { return Ready }
+
+// Of one organisation's attempts of one class, a later one goes first only by
+// bypassing the one whose turn it is, which is bounded for each.
+func TestBypassIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(testConfig())
+		n := rapid.IntRange(2, 40).Draw(t, "attempts")
+		for i := range n {
+			q.Push(start, Item{
+				ID: ID(i), Organisation: org(0), Weight: 1, Tokens: 10,
+				Build: buildOf(rapid.IntRange(0, 3).Draw(t, "build")),
+			})
+		}
+		waiting := make([]bool, n)
+		passed := make([]int, n)
+		for i := range waiting {
+			waiting[i] = true
+		}
+		for range n {
+			hot := buildOf(rapid.IntRange(0, 3).Draw(t, "running build"))
+			item, ok := q.Pop(start, func(i Item) Fit {
+				if i.Build == hot {
+					return Preferred
+				}
+				return Ready
+			})
+			if !ok {
+				t.Fatal("nothing popped although all are ready")
+			}
+			waiting[item.ID] = false
+			for earlier := range int(item.ID) {
+				if waiting[earlier] {
+					passed[earlier]++
+				}
+			}
+		}
+		for i, times := range passed {
+			if bound := testConfig().MaxBypass * (i + 1); times > bound {
+				t.Fatalf("attempt %d was passed %d times, bound %d", i, times, bound)
+			}
+		}
+	})
+}
+
+// Organisations that always have attempts waiting are served by weight, up to
+// the lead that batching allows and one attempt each.
+func TestSharesFollowWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(testConfig())
+		orgs := rapid.IntRange(2, 4).Draw(t, "organisations")
+		weights := rapid.SliceOfN(rapid.IntRange(1, 8), orgs, orgs).Draw(t, "weights")
+		served := make([]float64, orgs)
+		id := ID(0)
+		push := func(i int) {
+			id++
+			q.Push(start, Item{
+				ID: id, Organisation: org(i), Weight: weights[i],
+				Tokens: int64(rapid.IntRange(1, testMaxTokens).Draw(t, "tokens")),
+				Build:  buildOf(rapid.IntRange(0, 2).Draw(t, "build")),
+			})
+		}
+		for i := range orgs {
+			for range 4 {
+				push(i)
+			}
+		}
+		hot := buildOf(0)
+		for range 300 {
+			item, ok := q.Pop(start, func(i Item) Fit {
+				if i.Build == hot {
+					return Preferred
+				}
+				return Ready
+			})
+			if !ok {
+				t.Fatal("nothing popped although all are ready")
+			}
+			used := int64(rapid.IntRange(1, int(item.Tokens)).Draw(t, "used"))
+			q.Release(start, item, used)
+			var i int
+			_, _ = fmt.Sscanf(string(item.Organisation), "org-%d", &i)
+			served[i] += float64(used)
+			push(i)
+		}
+		for i := range orgs {
+			for j := range orgs {
+				lead := served[i]/float64(weights[i]) - served[j]/float64(weights[j])
+				if bound := testMaxLead + 2.0*testMaxTokens; lead > bound {
+					t.Fatalf("served %v by weights %v: organisation %d leads %d by %g", served, weights, i, j, lead)
+				}
+			}
+		}
+	})
+}
+
+// The queue's counts stay those of a plain list, whatever is pushed, popped,
+// cancelled and taken; it never holds more than its bound, and who is refused
+// is told when to come back.
+func TestCountsAndBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := testConfig()
+		config.MaxItems = 6
+		q := New(config)
+		now := start
+		held := make(map[ID]Item)
+		var running []Item
+		id := ID(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				id++
+				item := Item{
+					ID: id, Organisation: org(rapid.IntRange(0, 2).Draw(t, "organisation")), Weight: 1,
+					Priority: rapid.IntRange(0, 2).Draw(t, "class"),
+					Tokens:   int64(rapid.IntRange(1, testMaxTokens).Draw(t, "tokens")),
+				}
+				result := q.Push(now, item)
+				if result.Refusal != Accepted {
+					if result.RetryAfter <= 0 {
+						t.Fatalf("refused without a time to come back")
+					}
+					return
+				}
+				held[id] = item
+				if result.Displaced != nil {
+					if result.Displaced.Organisation == item.Organisation {
+						t.Fatalf("an attempt gave way to its own organisation")
+					}
+					delete(held, result.Displaced.ID)
+				}
+			},
+			"pop": func(t *rapid.T) {
+				item, ok := q.Pop(now, ready)
+				if ok != (len(held) > 0) {
+					t.Fatalf("popped %v of %d", ok, len(held))
+				}
+				if ok {
+					delete(held, item.ID)
+					running = append(running, item)
+				}
+			},
+			"release": func(t *rapid.T) {
+				if len(running) == 0 {
+					t.Skip("nothing runs")
+				}
+				q.Release(now, running[0], running[0].Tokens)
+				running = running[1:]
+			},
+			"cancel": func(t *rapid.T) {
+				which := ID(rapid.IntRange(1, int(id)+1).Draw(t, "id"))
+				_, was := held[which]
+				if _, ok := q.Cancel(which); ok != was {
+					t.Fatalf("cancel said %v", ok)
+				}
+				delete(held, which)
+			},
+			"time passes": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				var tokens int64
+				for _, item := range held {
+					tokens += item.Tokens
+				}
+				if q.Len() != len(held) || q.Tokens() != tokens || q.Len() > config.MaxItems {
+					t.Fatalf("%d attempts and %d tokens, want %d and %d", q.Len(), q.Tokens(), len(held), tokens)
+				}
+			},
+		})
+	})
+}
+
+func TestFloodedQueueTakesOthers(t *testing.T) {
+	q := New(testConfig())
+	for i := range q.config.MaxItems {
+		q.Push(start, Item{ID: ID(i), Organisation: org(0), Weight: 1, Tokens: 10})
+	}
+	result := q.Push(start, Item{ID: 1000, Organisation: org(0), Weight: 1, Tokens: 10})
+	if result.Refusal != RefusedFull {
+		t.Fatalf("the flooding organisation got %v", result)
+	}
+	result = q.Push(start, Item{ID: 1001, Organisation: org(1), Weight: 1, Tokens: 10})
+	if result.Refusal != Accepted || result.Displaced == nil || result.Displaced.Organisation != org(0) {
+		t.Fatalf("the other organisation got %+v", result)
+	}
+	if result.DisplacedRetryAfter <= 0 {
+		t.Fatal("the displaced attempt is not told when to come back")
+	}
+}
+
+// At 100 tokens a second, an attempt behind 400 tokens of its organisation
+// begins after 4 s; one of another organisation has half of the rate.
+func TestRefusesWhatCannotBeginInTime(t *testing.T) {
+	q := New(testConfig())
+	now := start
+	id := ID(0)
+	push := func(o int, deadline time.Duration) Result {
+		id++
+		item := Item{ID: id, Organisation: org(o), Weight: 1, Tokens: 100}
+		if deadline > 0 {
+			item.Deadline = now.Add(deadline)
+		}
+		return q.Push(now, item)
+	}
+	push(0, 0)
+	item, _ := q.Pop(now, ready)
+	for range 60 {
+		now = now.Add(time.Second)
+		q.Release(now, item, 100)
+		push(0, 0)
+		item, _ = q.Pop(now, ready)
+	}
+	for range 3 {
+		push(0, 0)
+		q.Pop(now, ready)
+	}
+	for range 4 {
+		push(0, 0)
+	}
+	result := push(0, 2*time.Second)
+	if result.Refusal != RefusedTooLate || math.Abs(result.RetryAfter.Seconds()-2) > 0.5 {
+		t.Fatalf("got %+v, want a refusal for 2 s", result)
+	}
+	if result := push(0, 6*time.Second); result.Refusal != Accepted {
+		t.Fatalf("got %+v with 6 s left", result)
+	}
+	if result := push(1, 2*time.Second); result.Refusal != Accepted {
+		t.Fatalf("an organisation without backlog got %+v", result)
+	}
+}
+
+func TestOlderAttemptsMoveUpAClass(t *testing.T) {
+	q := New(testConfig())
+	q.Push(start, Item{ID: 1, Organisation: org(0), Weight: 1, Tokens: 10, Priority: 2})
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * time.Second)
+		q.Push(now, Item{ID: ID(i + 2), Organisation: org(0), Weight: 1, Tokens: 10})
+		item, _ := q.Pop(now, ready)
+		if item.ID == 1 {
+			if i != 2 {
+				t.Fatalf("the attempt of class 2 ran after %d s", i)
+			}
+			return
+		}
+	}
+	t.Fatal("the attempt of class 2 starved")
+}
+
+func TestWhatIsNotReadyHoldsUpNobody(t *testing.T) {
+	q := New(testConfig())
+	q.Push(start, Item{ID: 1, Organisation: org(0), Weight: 1, Tokens: 10, Build: buildOf(0)})
+	q.Push(start, Item{ID: 2, Organisation: org(1), Weight: 1, Tokens: 10, Build: buildOf(1)})
+	notFirst := func(i Item) Fit {
+		if i.Build == buildOf(0) {
+			return NotReady
+		}
+		return Ready
+	}
+	if item, ok := q.Pop(start, notFirst); !ok || item.ID != 2 {
+		t.Fatalf("popped %v, %v", item.ID, ok)
+	}
+	if wanted := q.Wanted(start, 4); len(wanted) != 1 || wanted[0] != buildOf(0) {
+		t.Fatalf("wanted %v", wanted)
+	}
+}
+
+// A build that much work waits for is loaded before one that was asked for a
+// little earlier.
+func TestWantedWeighsWaitingWork(t *testing.T) {
+	q := New(testConfig())
+	q.Push(start, Item{ID: 1, Organisation: org(0), Weight: 1, Tokens: 100, Build: buildOf(0)})
+	for i := range 4 {
+		q.Push(start, Item{ID: ID(i + 2), Organisation: org(0), Weight: 1, Tokens: 100, Build: buildOf(1)})
+	}
+	if wanted := q.Wanted(start, 2); len(wanted) != 2 || wanted[0] != buildOf(1) {
+		t.Fatalf("wanted %v", wanted)
+	}
+	if wanted := q.Wanted(start, 1); len(wanted) != 1 {
+		t.Fatalf("wanted %v, limit 1", wanted)
+	}
+}
