--- a/internal/proof/harness/doc.go
+++ b/internal/proof/harness/doc.go
@@ -9,5 +9,7 @@
 //
 // A paused process still runs its goroutines and timers, but no byte passes in
 // or out of it and its store calls wait, so that to every other process it
-// looks like one that was stopped.
+// looks like one that was stopped. Unlike one that was really stopped, it sees
+// its own timeouts pass: beyond the fleet's ping timeout it gives its
+// connections up.
 package harness
--- a/internal/proof/harness/endpoint.go
+++ b/internal/proof/harness/endpoint.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 	Body     string
 	Answer   string // What the stand-in answered so far.
 	Finished bool   // Whether the stand-in's handler came to its end.
+	Unloaded bool   // Whether an engine turned it away because it does not hold the build.
 }
 
 // Contains reports whether the request carried the marker.
@@ -69,11 +71,12 @@
 	onOrder []func(Run)
 }
 
-// Runs returns a copy of the requests that arrived, without orders.
+// Runs returns a copy of the requests that arrived, without orders and
+// without those that an engine turned away because it did not hold the build.
 func (e *Endpoint) Runs() []Run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return copies(e.runs)
+	return slices.DeleteFunc(copies(e.runs), func(r Run) bool { return r.Unloaded })
 }
 
 // Orders returns a copy of the orders that arrived.
@@ -209,6 +212,11 @@
 // WriteHeader implements http.ResponseWriter.
 func (o *recorder) WriteHeader(status int) {
 	o.status = status
+	if status == http.StatusNotFound && o.endpoint.Engine != nil {
+		o.endpoint.mu.Lock()
+		o.run.Unloaded = true
+		o.endpoint.mu.Unlock()
+	}
 	if o.spoil == nil {
 		o.ResponseWriter.WriteHeader(status)
 	}
--- a/internal/proof/harness/fleet.go
+++ b/internal/proof/harness/fleet.go
@@ -320,6 +320,7 @@
 				MaxBodyBytes: maxBodyBytes, TimelineEvents: timelineEvents,
 			},
 			Store:         p.gate,
+			VMList:        f.VMs,
 			FleetListener: p.Host.Listen(portFleet),
 			AdminListener: p.Host.Listen(portAdmin),
 			Log:           f.log,
