--- a/internal/proof/harness/endpoint.go
+++ b/internal/proof/harness/endpoint.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"testing/synctest"
 	"time"
 
 	platform "github.com/hyssoptiller/hyssoptiller/internal/platform/engine"
@@ -50,6 +51,12 @@
 	free    sync.Once
 }
 
+// Wait returns when a run is held and all that went before it has settled.
+func (h *Hold) Wait() {
+	<-h.Reached
+	synctest.Wait()
+}
+
 // Release lets the held runs go on.
 func (h *Hold) Release() {
 	h.free.Do(func() { close(h.release) })
--- a/internal/proof/matrix/steps_test.go
+++ b/internal/proof/matrix/steps_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"testing/synctest"
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/proof/harness"
@@ -115,6 +116,7 @@
 	defer timer.Stop()
 	select {
 	case <-c:
+		synctest.Wait()
 	case <-timer.C:
 		w.t.Error("the subject did not come to the step")
 	}
