--- a/cmd/hyssop-load/main.go
+++ b/cmd/hyssop-load/main.go
@@ -10,6 +10,8 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/drive"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/endpoints"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/limits"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -18,6 +20,8 @@
 // experiments are the sub-commands.
 var experiments = []experiment.Experiment{
 	drive.New(),
+	endpoints.Experiment,
+	limits.New(),
 }
 
 func main() {
