--- a/cmd/hyssop-load/main.go
+++ b/cmd/hyssop-load/main.go
@@ -11,6 +11,8 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/drive"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/endpoints"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/limits"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -20,6 +22,8 @@
 var experiments = []experiment.Experiment{
 	config.Freshness,
 	drive.New(),
+	endpoints.Experiment,
+	limits.New(),
 }
 
 func main() {
--- /dev/null
+++ b/internal/entry/endpoints/endpoints.go
@@ -0,0 +1,182 @@
+package endpoints
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/placement"
+)
+
+// Views gives the last reading of the VM list.
+type Views interface {
+	View() *directory.View
+}
+
+// Options configures New.
+type Options struct {
+	Directory Views
+	Placement placement.Config
+	Metrics   tally.Scope
+}
+
+// Chooser is a dispatch.Endpoints. It is safe for concurrent use.
+type Chooser struct {
+	opts    Options
+	metrics metrics
+
+	mu     sync.Mutex
+	placer *placement.Placer
+	open   map[ident.AttemptID]bool // Attempts that were sent, and whether the build was resident.
+	view   *directory.View
+	vms    map[ident.VM]vmlist.VM
+}
+
+// New returns a Chooser.
+func New(opts Options) *Chooser {
+	return &Chooser{
+		opts:    opts,
+		metrics: newMetrics(opts.Metrics),
+		placer:  placement.New(opts.Placement),
+		open:    make(map[ident.AttemptID]bool),
+	}
+}
+
+// DefaultPlacement returns the placement settings of an entry.
+func DefaultPlacement() placement.Config {
+	return placement.Config{
+		Adapters:        20_000,
+		Prefixes:        20_000,
+		Returned:        4,
+		DemandHalfLife:  30 * time.Second,
+		LoadHalfLife:    2 * time.Second,
+		ResidentFor:     2 * time.Minute,
+		TargetBusy:      0.5,
+		LoadDelay:       2 * time.Second,
+		PrefixGain:      200 * time.Millisecond,
+		DefaultCapacity: 16,
+		DefaultElapsed:  5 * time.Second,
+		Holdback:        500 * time.Millisecond,
+		MaxHoldback:     30 * time.Second,
+	}
+}
+
+// Candidates implements dispatch.Endpoints.
+func (c *Chooser) Candidates(job wire.Job) []vmlist.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refresh()
+	chosen := c.placer.Choose(time.Now(), placementJob(job))
+	out := make([]vmlist.VM, len(chosen))
+	for i, id := range chosen {
+		out[i] = c.vms[id]
+	}
+	c.metrics.choices.Inc(1)
+	if len(out) == 0 {
+		c.metrics.none.Inc(1)
+	}
+	return out
+}
+
+// Observe implements dispatch.Endpoints. Of an attempt that was not reported as
+// sent, or that has ended already, nothing is learned.
+func (c *Chooser) Observe(o dispatch.Observation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	attempt := o.Job.Attempt
+	if o.Outcome == dispatch.OutcomeSent {
+		c.open[attempt] = false
+		c.placer.Sent(o.VM)
+		return
+	}
+	resident, ok := c.open[attempt]
+	if !ok {
+		return
+	}
+	if o.Outcome == dispatch.OutcomeAnswer {
+		c.open[attempt] = o.Load.Resident
+		c.countResidency(o)
+		c.placer.Answered(time.Now(), o.VM, placementJob(o.Job), o.Boot, placementLoad(o.Load))
+		return
+	}
+	delete(c.open, attempt)
+	c.ended(o, resident)
+}
+
+func (c *Chooser) ended(o dispatch.Observation, resident bool) {
+	switch o.Outcome {
+	case dispatch.OutcomeDone:
+		c.placer.Done(o.VM, o.Elapsed, resident)
+	case dispatch.OutcomeRefused:
+		c.metrics.refused.Inc(1)
+		c.placer.Refused(time.Now(), o.VM, placementJob(o.Job), placementLoad(o.Load))
+	default:
+		c.metrics.failed.Inc(1)
+		c.placer.Failed(time.Now(), o.VM)
+	}
+}
+
+func placementLoad(l wire.Load) placement.Load {
+	return placement.Load{Running: l.Running, Capacity: l.Capacity, Queued: l.Queued}
+}
+
+func (c *Chooser) countResidency(o dispatch.Observation) {
+	if o.Job.Adapter == "" {
+		return
+	}
+	if o.Load.Resident {
+		c.metrics.resident.Inc(1)
+		return
+	}
+	c.metrics.notResident.Inc(1)
+}
+
+// refresh takes over a new reading of the VM list.
+func (c *Chooser) refresh() {
+	view := c.opts.Directory.View()
+	if view == c.view {
+		return
+	}
+	c.view = view
+	c.vms = make(map[ident.VM]vmlist.VM, len(view.VMs))
+	var endpoints []placement.Endpoint
+	entries := 0
+	for _, vm := range view.VMs {
+		c.vms[vm.ID] = vm
+		if vm.Role == vmlist.RoleEntry {
+			entries++
+			continue
+		}
+		endpoints = append(endpoints, placementEndpoint(vm))
+	}
+	c.placer.SetEndpoints(endpoints, entries)
+	c.metrics.endpoints.Update(float64(len(endpoints)))
+	adapters, _ := c.placer.Remembered()
+	c.metrics.adapters.Update(float64(adapters))
+}
+
+func placementEndpoint(vm vmlist.VM) placement.Endpoint {
+	return placement.Endpoint{
+		VM:      vm.ID,
+		Domain:  vm.FailureDomain,
+		Pool:    placement.Pool{Base: vm.Base, Service: vm.Service},
+		Leaving: vm.State != vmlist.StateLive,
+	}
+}
+
+func placementJob(job wire.Job) placement.Job {
+	return placement.Job{
+		Pool:    placement.Pool{Base: job.Base, Service: job.Service},
+		Adapter: job.Adapter,
+		Version: job.Version,
+		Prefix:  job.Prefix,
+		Spread:  xxhash.Sum64String(string(job.Request)),
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,11 +15,14 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/admission"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/callers"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/endpoints"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/gather"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/shares"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
@@ -51,6 +54,8 @@
 	fleet     fleetParts
 	directory *directory.Directory
 	running   *running.Index
+	shares    *shares.Keeper
+	asker     *shares.Asker
 	tree      *suture.Supervisor // What callers' requests rest on.
 	front     *suture.Supervisor // Callers' listener; ends first.
 }
@@ -85,6 +90,7 @@
 	}
 	e.fleet = e.newFleet(client)
 	e.fleet.replica.OnChange(e.configChanged)
+	e.addShares(client)
 	fleet, err := transport.NewServer(s.Security, e.clock, e.fleetHandler())
 	if err != nil {
 		return errors.Trace(err)
@@ -95,7 +101,7 @@
 	e.tree.Add(e.fleet.gossip)
 	e.tree.Add(e.fleet.collector)
 	e.front.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
-	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(), time.Second))
+	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(client), time.Second))
 	e.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: e.opts.FleetListener, Grace: s.DrainTimeout})
 	admin := process.AdminHandler(e.ready, e.metrics)
 	e.tree.Add(process.NewHTTPServer("admin", e.opts.AdminListener, admin, time.Second))
@@ -105,14 +111,20 @@
 func (e *Entry) callersHandler(client *transport.Client) http.Handler {
 	s := e.opts.Settings
 	dispatcher := dispatch.New(dispatch.Options{
-		Client:    client,
-		Endpoints: &dispatch.Rendezvous{Directory: e.directory},
-		Timeline:  e.ring,
+		Client: client,
+		Endpoints: endpoints.New(endpoints.Options{
+			Directory: e.directory,
+			Placement: endpoints.DefaultPlacement(),
+			Metrics:   e.metrics.Scope,
+		}),
+		Timeline: e.ring,
+		Metrics:  e.metrics.Scope,
+		Notices:  e.fleet.notices,
 	})
 	return callers.NewHandler(callers.Options{
 		Config:       e.fleet.replica.Current,
 		Freshness:    e.fleet.freshness,
-		Limiter:      admission.NewLocal(),
+		Limiter:      admission.NewFleet(e.asker, e.fleet.replica.Current),
 		Dispatcher:   dispatcher,
 		Running:      e.running,
 		Timeline:     e.ring,
@@ -124,15 +136,18 @@
 	})
 }
 
-func (e *Entry) operatorsHandler() http.Handler {
+func (e *Entry) operatorsHandler(client *transport.Client) http.Handler {
 	return operators.NewHandler(operators.Options{
 		VM:        e.opts.Settings.VM,
 		Editor:    e.newEditor(),
 		Survey:    e.fleet.survey,
 		Config:    e.fleet.replica.Current,
 		Providers: e.statusProviders(),
-		Timeline:  e.ring,
-		Token:     e.opts.Settings.OperatorsToken,
+		Ring:      e.ring,
+		Timeline: gather.NewHandler(gather.Options{
+			VM: e.opts.Settings.VM, Ring: e.ring, Client: client, Directory: e.directory,
+		}),
+		Token: e.opts.Settings.OperatorsToken,
 	})
 }
 
@@ -158,10 +173,12 @@
 	e.ready.Not("draining")
 	e.fleet.members.SetLeaving()
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
+	e.shares.Leave(context.Background())
 	time.Sleep(e.opts.Settings.DrainDelay)
 }
 
 // Ready reports whether the entry can serve callers.
 func (e *Entry) Ready() bool {
-	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero() && e.fleet.freshness.Fresh()
+	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero() &&
+		e.shares.Ready() && e.fleet.freshness.Fresh()
 }
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -14,6 +14,8 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/gossip"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/rpc"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/shares"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
@@ -68,6 +70,8 @@
 	fleet := chi.NewRouter()
 	fleet.Mount(rpc.ConfigPathPrefix, config.NewServer(e.fleet.replica))
 	fleet.Mount(rpc.GossipPathPrefix, gossip.NewServer(e.fleet.gossip))
+	fleet.Mount(shares.PathPrefix, e.shares.Handler())
+	fleet.Mount(timeline.Path, timeline.NewHandler(e.ring))
 	return fleet
 }
 
@@ -105,6 +109,7 @@
 			return v.Fresh, string(v.Reason)
 		},
 		Members:  e.memberStates,
+		Holders:  e.holders,
 		Degraded: []func() []config.Degradation{e.fleet.replica.Degraded, e.degraded},
 	}
 }
--- a/internal/entry/operators/keys.go
+++ b/internal/entry/operators/keys.go
@@ -89,7 +89,7 @@
 			writeFailure(w, err)
 			return
 		}
-		h.opts.Timeline.Record(timeline.Event{
+		h.opts.Ring.Record(timeline.Event{
 			Kind: timeline.KindKeyWithdrawn, Organisation: ident.Organisation(chi.URLParam(r, "organisation")),
 			Detail: "revision " + revision.String(),
 		})
--- a/internal/entry/operators/operators.go
+++ b/internal/entry/operators/operators.go
@@ -30,8 +30,9 @@
 	Survey    *config.Survey
 	Config    func() *config.Snapshot
 	Providers Providers
-	Timeline  *timeline.Ring
-	Token     string // Credential that operators show as a bearer token.
+	Timeline  http.Handler   // Serves the events of the fleet.
+	Ring      *timeline.Ring // Events of this process.
+	Token     string         // Credential that operators show as a bearer token.
 }
 
 type handler struct {
@@ -50,7 +51,7 @@
 	router.Post("/keys/{organisation}", h.grant)
 	router.Delete("/keys/{organisation}", h.withdraw)
 	router.Delete("/keys/{organisation}/{hash}", h.withdraw)
-	router.Get("/timeline", h.timeline)
+	router.Method(http.MethodGet, "/timeline", opts.Timeline)
 	router.Get("/status", h.status)
 	return router
 }
@@ -138,10 +139,6 @@
 	return list, string(data), true
 }
 
-func (h *handler) timeline(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, h.opts.Timeline.Events())
-}
-
 // ErrorBody is the error in an answer that is no success.
 type ErrorBody struct {
 	Code     string           `json:"code"`
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -25,6 +25,10 @@
 	minSecretBytes    = 16
 	idleConnsPerHost  = 256
 	readHeaderTimeout = 10 * time.Second
+	// A silent connection is asked for a sign of life, so that a process that
+	// was stopped does not hold its callers until their deadlines.
+	pingAfter   = 5 * time.Second
+	pingTimeout = 10 * time.Second
 )
 
 // Errors of Security.Check.
@@ -87,6 +91,7 @@
 		DisableCompression:  true,
 		DialContext:         dial,
 		Protocols:           new(http.Protocols),
+		HTTP2:               &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	scheme := "http"
 	if s.TLS() {
@@ -101,7 +106,9 @@
 		base.Protocols.SetUnencryptedHTTP2(true)
 	}
 	signed := &signer{next: base, secret: s.Secret, clock: clock}
-	return &Client{HTTP: &http.Client{Transport: signed}, Scheme: scheme}, nil
+	// A redirect is an endpoint's answer on its way to a caller.
+	pass := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{HTTP: &http.Client{Transport: signed, CheckRedirect: pass}, Scheme: scheme}, nil
 }
 
 // NewServer returns a server for a process's fleet address.
