--- a/internal/fleet/config/bench_test.go
+++ b/internal/fleet/config/bench_test.go
@@ -132,3 +132,15 @@
 	b.ReportMetric(float64(after.Writes-before.Writes)/float64(b.N), "writes/op")
 	b.ReportMetric(float64(after.Reads-before.Reads)/float64(b.N), "reads/op")
 }
+
+// BenchmarkCheck130000 is the check of a whole list.
+func BenchmarkCheck130000(b *testing.B) {
+	text := benchAllowances("v1")
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := parseAllowances(text, nil, Catalog{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/fleet/config/check.go
+++ b/internal/fleet/config/check.go
@@ -77,14 +77,18 @@
 
 // parsePlans reads a plans list, whose plans must be among known.
 func parsePlans(text string, known []string) (Plans, error) {
-	var r reader
-	var out Plans
-	root := r.document(text)
-	if root == nil {
-		return out, r.err()
+	out, r := readPlans(text, known, false)
+	if r.unsure {
+		out, r = readPlans(text, known, true)
 	}
+	return out, r.err()
+}
+
+func readPlans(text string, known []string, whole bool) (Plans, *reader) {
+	r := &reader{}
+	var out Plans
 	seen := make(map[string]bool)
-	for _, item := range r.items(r.fields(root, "plans")["plans"]) {
+	r.eachItem(text, "plans", whole, func(item ast.Node) {
 		f := r.fields(item, "organisation", "plan", "weight")
 		entry := PlanEntry{
 			Organisation: ident.Organisation(r.name(item, f["organisation"], "organisation")),
@@ -97,8 +101,8 @@
 		r.once(seen, f["organisation"], "organisation", string(entry.Organisation))
 		r.among(f["plan"], string(entry.Plan), known, "the allowances list has no plan %q")
 		out.Plans = append(out.Plans, entry)
-	}
-	return out, r.err()
+	})
+	return out, r
 }
 
 // once records a problem where a name was given before.
@@ -140,25 +144,31 @@
 // parseAllowances reads an allowances list, which must hold the plans that
 // users name.
 func parseAllowances(text string, users map[ident.Plan]ident.Organisation, catalog Catalog) (Allowances, error) {
-	r := allowanceReader{catalog: catalog, routes: make(map[routeName]routeUse)}
-	var out Allowances
-	root := r.document(text)
-	if root == nil {
-		return out, r.err()
+	out, r := readAllowances(text, users, catalog, false)
+	if r.unsure {
+		out, r = readAllowances(text, users, catalog, true)
 	}
+	return out, r.err()
+}
+
+func readAllowances(
+	text string, users map[ident.Plan]ident.Organisation, catalog Catalog, whole bool,
+) (Allowances, *allowanceReader) {
+	r := &allowanceReader{catalog: catalog, routes: make(map[routeName]routeUse)}
+	var out Allowances
 	seen := make(map[string]bool)
-	for _, item := range r.items(r.fields(root, "allowances")["allowances"]) {
+	r.eachItem(text, "allowances", whole, func(item ast.Node) {
 		out.Allowances = append(out.Allowances, r.allowance(item, seen))
-	}
-	r.stillUsed(root, users, seen)
-	return out, r.err()
+	})
+	r.stillUsed(users, seen)
+	return out, r
 }
 
-func (r *allowanceReader) stillUsed(root ast.Node, users map[ident.Plan]ident.Organisation, have map[string]bool) {
+func (r *allowanceReader) stillUsed(users map[ident.Plan]ident.Organisation, have map[string]bool) {
 	names := slices.Sorted(maps.Keys(have))
 	for _, plan := range slices.Sorted(maps.Keys(users)) {
 		if !have[string(plan)] {
-			r.problem(root, nearest(string(plan), names),
+			r.problem(nil, nearest(string(plan), names),
 				"plan %q is missing, but organisation %q has it; change the plans list first", plan, users[plan])
 		}
 	}
--- a/internal/fleet/config/check_test.go
+++ b/internal/fleet/config/check_test.go
@@ -86,6 +86,25 @@
 	}
 }
 
+// TestItemsAreCutAsTheyAreParsedWhole checks that parsing item by item and
+// parsing at once see the same.
+func TestItemsAreCutAsTheyAreParsedWhole(t *testing.T) {
+	for _, text := range []string{
+		testAllowances, badAllowances, "allowances: # all\n# one\n- plan: a\n\n  tokens_per_second: 1\n# two\n  burst: 1\n-\n  plan: b\n",
+		"allowances:\n  - plan: |\n      - x\n    burst: 1\n", "allowances:\n- plan: \"a\n- b\"\n", "allowances:\n- a: 1\nother: 2\n",
+		"allowances:\n- plan: a\n---\nallowances: []\n", "allowances:\n", "allowances:\n  - {plan: a,\n  burst: 1}\n",
+	} {
+		_, err := parseAllowances(text, nil, Catalog{})
+		_, whole := readAllowances(text, nil, Catalog{}, true)
+		if err == nil != (whole.err() == nil) || err != nil && err.Error() != whole.err().Error() {
+			t.Errorf("%q:\n%v\nwhole:\n%v", text, err, whole.err())
+		}
+	}
+	if pieces, ok := cutItems(testAllowances, "allowances"); !ok || len(pieces) != 1 || pieces[0].lines != 2 {
+		t.Errorf("pieces %v, %t", pieces, ok)
+	}
+}
+
 func FuzzLists(f *testing.F) {
 	f.Add(testPlans)
 	f.Add(testAllowances)
@@ -100,6 +119,10 @@
 		if err != nil && !errors.Is(err, ErrInvalid) {
 			t.Errorf("allowances: %v", err)
 		}
+		_, whole := readAllowances(text, nil, Catalog{}, true)
+		if (err == nil) != (whole.err() == nil) {
+			t.Errorf("item by item: %v, whole: %v", err, whole.err())
+		}
 		if err == nil {
 			NewSnapshot(1, Plans{}, allowances, nil)
 		}
--- a/internal/fleet/config/reader.go
+++ b/internal/fleet/config/reader.go
@@ -19,6 +19,8 @@
 // reader walks a YAML document and collects all that is wrong with it.
 type reader struct {
 	problems []Problem
+	offset   int  // Lines before the text that is being parsed.
+	unsure   bool // Whether the text must be parsed whole.
 }
 
 // located is an error of the YAML library that knows its place.
@@ -65,7 +67,7 @@
 	}
 	p := Problem{Line: 1, Column: 1, Reason: fmt.Sprintf(format, args...), Nearest: nearest}
 	if position := positionOf(node); position != nil {
-		p.Line, p.Column = position.Line, position.Column
+		p.Line, p.Column = r.offset+position.Line, position.Column
 	}
 	r.problems = append(r.problems, p)
 }
