Configuration: the second push tree carries the revision's name only

Change: chunks go down the first tree; the second one tells the name 0.3 s later, and who lacks it fetches.

--- a/internal/fleet/config/fanout.go
+++ b/internal/fleet/config/fanout.go
@@ -14,8 +14,8 @@
 	// watchersPerDomain is the number of entries of each failure domain that
 	// watch the store.
 	watchersPerDomain = 2
-	// fanout is the number of entries that each one passes a revision on to,
-	// in each of the two trees of its domain.
+	// fanout is the number of entries below each one in each of the two trees
+	// of its domain.
 	fanout = 8
 	// maxDomains bounds the other domains that a domain's first watcher
 	// passes a revision on to.
@@ -25,30 +25,36 @@
 // Role is the part that one entry has in spreading the configuration.
 type Role struct {
 	Watches bool             // Whether it watches the store.
-	Targets []members.Member // Whom it passes a new revision on to.
+	Targets []members.Member // Whom it sends what a new revision changed.
+	Backups []members.Member // Whom it tells of a new revision a little later.
 	Parents []members.Member // Who passes revisions on to it.
 }
 
 // RoleOf returns the part of self among the entries. All entries that see the
 // same members come to the same trees: in each failure domain two trees over
 // its live entries, in opposite orders, so that each entry but the first two
-// has two different parents.
+// has two different parents. Down the first tree goes what a revision changed,
+// down the second its name only: who has missed the first one fetches.
 func RoleOf(self members.Member, entries []members.Member) Role {
 	domains := rank(self, entries)
 	own := domains[self.FailureDomain]
 	var role Role
-	for _, tree := range [][]members.Member{own, opposite(own)} {
+	role.Watches = len(own) <= watchersPerDomain
+	for i, tree := range [][]members.Member{own, opposite(own)} {
 		at := slices.IndexFunc(tree, func(m members.Member) bool { return m.VM == self.VM })
-		role.Watches = role.Watches || at == 0 || len(own) <= watchersPerDomain
-		role.Targets = append(role.Targets, childrenOf(tree, at)...)
+		role.Watches = role.Watches || at == 0
 		if at > 0 {
 			role.Parents = append(role.Parents, tree[(at-1)/fanout])
 		}
+		if i == 0 {
+			role.Targets = childrenOf(tree, at)
+		} else {
+			role.Backups = without(childrenOf(tree, at), role.Targets)
+		}
 	}
 	if own[0].VM == self.VM {
-		role.Targets = append(role.Targets, firstOfOthers(domains, self.FailureDomain)...)
+		role.Backups = append(role.Backups, firstOfOthers(domains, self.FailureDomain)...)
 	}
-	role.Targets = distinct(role.Targets)
 	return role
 }
 
@@ -126,10 +132,11 @@
 	return out[:min(len(out), maxDomains)]
 }
 
-func distinct(list []members.Member) []members.Member {
+// without returns the entries of list that are not in other.
+func without(list, other []members.Member) []members.Member {
 	var out []members.Member
 	for _, m := range list {
-		if !slices.ContainsFunc(out, func(o members.Member) bool { return o.VM == m.VM }) {
+		if !slices.ContainsFunc(other, func(o members.Member) bool { return o.VM == m.VM }) {
 			out = append(out, m)
 		}
 	}
--- a/internal/fleet/config/replica_test.go
+++ b/internal/fleet/config/replica_test.go
@@ -146,6 +146,29 @@
 	})
 }
 
+// TestSecondTreeMakesUpForTheFirst cuts the entries off that others are below
+// of in the first tree.
+func TestSecondTreeMakesUpForTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := seeded(t)
+		f := newFleet(80, 1, memory)
+		f.run(t)
+		time.Sleep(5 * time.Second)
+		var parents []ident.VM
+		for _, m := range f.entries {
+			if role := RoleOf(m, f.entries); !role.Watches && len(role.Targets) > 0 {
+				parents = append(parents, m.VM)
+				f.cut.Store(m.VM, true)
+			}
+		}
+		mustApply(t, NewEditor(memory), ListPlans, testPlans+"# changed\n", 3)
+		time.Sleep(5 * time.Second)
+		if n := f.at(4); len(parents) == 0 || n < 80-len(parents) {
+			t.Errorf("%d of 80 entries hold the change, %d are cut off", n, len(parents))
+		}
+	})
+}
+
 func TestReplicaNeverGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := seeded(t)
@@ -286,10 +309,10 @@
 	parents := make(map[ident.VM]int)
 	for _, m := range f.entries {
 		role := RoleOf(m, f.entries)
-		if len(role.Targets) > 2*fanout+maxDomains {
-			t.Errorf("%s passes on to %d entries", m.VM, len(role.Targets))
+		if len(role.Targets) > fanout || len(role.Backups) > fanout+maxDomains {
+			t.Errorf("%s sends to %d entries and tells %d", m.VM, len(role.Targets), len(role.Backups))
 		}
-		for _, target := range role.Targets {
+		for _, target := range append(role.Targets, role.Backups...) {
 			parents[target.VM]++
 		}
 	}
--- a/internal/fleet/config/watch.go
+++ b/internal/fleet/config/watch.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config/hashtree"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/rpc"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 )
 
@@ -26,6 +27,11 @@
 	// while these are in touch with a majority of the others.
 	pollsPerSecond = 20
 	idleDelay      = 250 * time.Millisecond
+	// backupDelay is the time that the first tree has before the second one
+	// tells of a revision.
+	backupDelay = 300 * time.Millisecond
+	// spreadJobs bounds the revisions that are being passed on.
+	spreadJobs = 8
 )
 
 // Serve follows the store as the entry's role says, and passes revisions on,
@@ -146,28 +152,46 @@
 	r.health.set(degradedCorrupt, true)
 }
 
-// passOn pushes each revision that comes in force to the entry's targets.
+// passOn pushes each revision that comes in force to the entries below.
 func (r *Replica) passOn(ctx context.Context) error {
+	var jobs errgroup.Group
+	jobs.SetLimit(spreadJobs)
+	defer func() { _ = jobs.Wait() }()
 	for {
 		select {
 		case job := <-r.spread:
-			r.push(ctx, job)
+			jobs.Go(func() error {
+				r.push(ctx, job)
+				return nil
+			})
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// push sends what a revision changed to the targets and, backupDelay later,
+// tells the backups of it, unless a higher one has come since.
 func (r *Replica) push(ctx context.Context, job spreadJob) {
 	self := r.opts.Members.Self()
-	targets := RoleOf(self, r.opts.Members.Entries()).Targets
+	role := RoleOf(self, r.opts.Members.Entries())
 	req := pushRequest(self, job)
-	var group errgroup.Group
-	for _, target := range targets {
-		group.Go(func() error {
+	var calls errgroup.Group
+	for _, target := range role.Targets {
+		calls.Go(func() error {
 			r.pushTo(ctx, target, req)
 			return nil
 		})
 	}
-	_ = group.Wait()
+	pause(ctx, backupDelay)
+	if r.Current() == job.next {
+		name := &rpc.PushRequest{Vm: req.Vm, Head: req.Head}
+		for _, backup := range role.Backups {
+			calls.Go(func() error {
+				r.pushTo(ctx, backup, name)
+				return nil
+			})
+		}
+	}
+	_ = calls.Wait()
 }
