--- a/internal/entry/dispatch/leaving_test.go
+++ b/internal/entry/dispatch/leaving_test.go
@@ -52,6 +52,7 @@
 	run(t, func(f *fleet) {
 		f.addEnginesWith(2, slow, func(s *agent.Settings) { s.Capacity = 1 })
 		done := make(chan answer, 2)
+		began := time.Now()
 		for range 2 {
 			go func() { done <- f.complete(false, "x") }()
 			time.Sleep(loadTime)
@@ -61,6 +62,9 @@
 		for range 2 {
 			wantWhole(f.t, <-done, false)
 		}
+		if took := time.Since(began); took > 12*time.Second {
+			f.t.Errorf("waiting work went elsewhere only after %v", took)
+		}
 		if runs := f.runsOf(); runs[0] != 1 || runs[1] != 1 {
 			f.t.Errorf("runs %v: waiting work stayed with the leaving endpoint", runs)
 		}
@@ -97,6 +101,15 @@
 	})
 }
 
+func TestRequestThatMeetsAColdEngineGoesElsewhere(t *testing.T) {
+	run(t, func(f *fleet) {
+		f.addEngines(2, plainEngine)
+		wantWhole(f.t, f.complete(false, "x"), false)
+		f.engines[0].Restart() // Not noticed yet.
+		wantWhole(f.t, f.complete(false, "y"), false)
+	})
+}
+
 func TestReplacedAgentOrdersNothingAndTakesNoWork(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		run(t, func(f *fleet) {
--- a/internal/entry/dispatch/once_test.go
+++ b/internal/entry/dispatch/once_test.go
@@ -75,6 +75,45 @@
 	}
 }
 
+// TestAnswerCutByTheAgent lets an agent end an answer whose every byte looks
+// whole without the trailer that says so.
+func TestAnswerCutByTheAgent(t *testing.T) {
+	tests := []struct {
+		name, kind, body string
+		stream           bool
+	}{
+		{"plain", "application/json", `{"deposit":1}`, false},
+		{"stream", wire.EventStream, "data: {}\n\n" + endMark, true},
+		{"stream of the end mark alone", wire.EventStream, endMark, true},
+	}
+	for _, tt := range tests {
+		for _, cut := range []bool{true, false} {
+			run(t, func(f *fleet) {
+				f.addAgent(func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+					w.Header().Set("Content-Type", tt.kind)
+					_, _ = w.Write([]byte(tt.body))
+					if cut {
+						_ = http.NewResponseController(w).Flush()
+						panic(http.ErrAbortHandler)
+					}
+				})
+				job := completionJob(tt.stream)
+				if !tt.stream {
+					job = depositJob("")
+				}
+				got := send(f.t.Context(), f.dispatcher, job, "{}")
+				if got.Refusal == nil && !got.Broken || strings.Contains(got.body, "[DONE]") {
+					f.t.Errorf("%s passes as whole: %+v", tt.name, got)
+				}
+				if got.Ran != refusal.RanYes {
+					f.t.Errorf("%s: ran %s", tt.name, got.Ran)
+				}
+			})
+		}
+	}
+}
+
 // addAgent adds a process that answers as an agent by h.
 func (f *fleet) addAgent(h http.HandlerFunc) {
 	server, err := transport.NewServer(security, nil, h)
@@ -82,8 +121,9 @@
 		f.t.Fatal(err)
 	}
 	vm := vmlist.VM{ID: "fake", Role: vmlist.RolePlain, Service: "booking", Address: "fake:1"}
+	engine := vmlist.VM{ID: "fake", Role: vmlist.RoleEngine, Address: vm.Address}
 	go func() { _ = server.Serve(f.net.listen(vm.Address)) }()
-	f.rows = append(f.rows, vm)
+	f.rows = append(f.rows, vm, engine)
 	f.settle()
 }
 
