Suspects are kept apart by the scheduler alone

The intake held a second lock for the same rule; taken out in the scheduler, TestSuspectsDoNotRunBesideEachOther fails (1.2s and 1.2s beside each other).

--- a/internal/agent/intake/intake.go
+++ b/internal/agent/intake/intake.go
@@ -66,7 +66,6 @@
 // Handler serves wire.PathRun. It is safe for concurrent use.
 type Handler struct {
 	opts     Options
-	suspect  chan struct{} // Holds one value while a suspect runs.
 	attempts tally.Counter
 	refusals tally.Counter
 	broken   tally.Counter
@@ -79,7 +78,6 @@
 func NewHandler(opts Options) *Handler {
 	return &Handler{
 		opts:     opts,
-		suspect:  make(chan struct{}, 1),
 		attempts: opts.Metrics.Counter("agent_attempts_total"),
 		refusals: opts.Metrics.Counter("agent_refusals_total"),
 		broken:   opts.Metrics.Counter("agent_broken_answers_total"),
@@ -163,19 +161,11 @@
 func (a *attempt) takeTurn(ctx context.Context) (func(), error) {
 	ctx, cancel := a.h.opts.Gate.Waiting(ctx)
 	defer cancel()
-	alone, err := a.waitAlone(ctx)
-	if err != nil {
-		return nil, err
-	}
 	turn, err := a.h.opts.Scheduler.Acquire(ctx, a.job)
 	if err != nil {
-		alone()
 		return nil, err
 	}
-	done := func() {
-		turn.Release(a.used)
-		alone()
-	}
+	done := func() { turn.Release(a.used) }
 	if refused := a.h.opts.Gate.Refuse(); refused != nil {
 		done()
 		return nil, refused
@@ -183,19 +173,6 @@
 	return done, nil
 }
 
-// waitAlone waits until no other suspect runs, where the attempt is one.
-func (a *attempt) waitAlone(ctx context.Context) (func(), error) {
-	if !a.job.Alone {
-		return func() {}, nil
-	}
-	select {
-	case a.h.suspect <- struct{}{}:
-		return func() { <-a.h.suspect }, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // claim takes the attempt's claim where it needs one, and reports whether the
 // attempt runs; otherwise the attempt is answered.
 func (a *attempt) claim(ctx context.Context) bool {
