--- a/cmd/hyssop-load/main.go
+++ b/cmd/hyssop-load/main.go
@@ -12,6 +12,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/drive"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/endpoints"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/limits"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/quarantine"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -22,6 +23,8 @@
 	drive.New(),
 	endpoints.Experiment,
 	limits.New(),
+	quarantine.Crashes,
+	quarantine.Storm,
 }
 
 func main() {
