A quarantined request stays a suspect everywhere after its quarantine

Cause: after a quarantine only the entry that had set it remembered the crashes; at another entry the request began anew and took two endpoints. Innocents refused or unanswered: 0 before and after.

--- a/internal/entry/dispatch/quarantine_test.go
+++ b/internal/entry/dispatch/quarantine_test.go
@@ -70,6 +70,7 @@
 		f.addEngines(4, fragileEngine)
 		f.complete(false, poison)
 		time.Sleep(10 * time.Minute)
+		f.dispatcher = f.newDispatcher() // Another entry.
 		before := f.boots()
 		wantRefusal(f.t, f.complete(false, poison), refusal.CodeQuarantined, refusal.RanUnknown)
 		if n := f.crashes(before); n != 1 {
--- a/internal/entry/dispatch/suspects.go
+++ b/internal/entry/dispatch/suspects.go
@@ -117,14 +117,14 @@
 	outcome := outcomeOf(e)
 	s.mu.Lock()
 	until, bad := s.ledger.End(id, verdict, outcome, now)
-	tell := outcome == quarantine.OutcomeCrashed && !bad && s.mayTell(now)
+	tell := bad || outcome == quarantine.OutcomeCrashed && s.mayTell(now)
 	if verdict == quarantine.VerdictAlone {
 		close(s.ended)
 		s.ended = make(chan struct{})
 	}
 	s.mu.Unlock()
 	if tell {
-		expires := now.Add(quarantine.DefaultLimits().Suspicion)
+		expires := quarantine.SuspectedUntil(quarantine.DefaultLimits(), until, now)
 		s.notices.Publish(gossip.Notice{Kind: noticeSuspect, Subject: string(id), Expires: expires})
 	}
 	if bad {
--- a/internal/experiment/quarantine/crash.go
+++ b/internal/experiment/quarantine/crash.go
@@ -184,9 +184,8 @@
 	n := notice{visible: c.now.Add(noticeDelay), from: r.entry, until: until}
 	if bad {
 		c.refused[r.id] = n
-		return
 	}
-	n.until = c.now.Add(c.policy.limits.Suspicion)
+	n.until = quarantine.SuspectedUntil(c.policy.limits, until, c.now)
 	c.suspects[r.id] = n
 }
 
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// SuspectedUntil returns how long the other processes suspect a request after
+// a crash: beyond its quarantine, where until is the end of one, so that one
+// more crash anywhere quarantines it again.
+func SuspectedUntil(l Limits, until, now time.Time) time.Time {
+	if until.After(now) {
+		return until.Add(l.Suspicion)
+	}
+	return now.Add(l.Suspicion)
+}
+
 // Verdict says how a request may run.
 type Verdict int
 
