--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
@@ -22,16 +21,13 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
-	"github.com/hyssoptiller/hyssoptiller/internal/fleet/gossip"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
-	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/shares"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
-	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -55,10 +51,9 @@
 	ring      *timeline.Ring
 	ready     *process.Ready
 	metrics   *process.Metrics
-	replica   *config.Replica
+	fleet     fleetParts
 	directory *directory.Directory
 	running   *running.Index
-	notices   *gossip.Notices
 	shares    *shares.Keeper
 	asker     *shares.Asker
 	tree      *suture.Supervisor // What callers' requests rest on.
@@ -76,14 +71,11 @@
 		ring:      ring,
 		ready:     process.NewReady("no configuration yet"),
 		metrics:   process.NewMetrics(),
-		replica:   config.NewReplica(config.ReplicaOptions{Store: opts.Store, Log: opts.Log, Timeline: ring}),
 		directory: directory.New(directory.Options{List: opts.VMList, Interval: s.VMListInterval, Log: opts.Log}),
 		running:   running.NewIndex(),
-		notices:   gossip.NewNotices(),
 		tree:      process.NewSupervisor("entry", opts.Log, s.DrainTimeout),
 		front:     process.NewSupervisor("entry front", opts.Log, s.DrainTimeout),
 	}
-	e.replica.OnChange(e.configChanged)
 	if err := e.addServices(); err != nil {
 		return nil, err
 	}
@@ -96,13 +88,18 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	e.fleet = e.newFleet(client)
+	e.fleet.replica.OnChange(e.configChanged)
 	e.addShares(client)
 	fleet, err := transport.NewServer(s.Security, e.clock, e.fleetHandler())
 	if err != nil {
 		return errors.Trace(err)
 	}
-	e.tree.Add(e.replica)
 	e.tree.Add(e.directory)
+	e.tree.Add(e.fleet.replica)
+	e.tree.Add(e.fleet.freshness)
+	e.tree.Add(e.fleet.gossip)
+	e.tree.Add(e.fleet.collector)
 	e.front.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
 	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(client), time.Second))
 	e.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: e.opts.FleetListener, Grace: s.DrainTimeout})
@@ -111,34 +108,6 @@
 	return nil
 }
 
-// addShares adds what counts tokens over all VMs.
-func (e *Entry) addShares(client *transport.Client) {
-	s := e.opts.Settings
-	self := members.Member{
-		VM: s.VM, Address: e.opts.FleetListener.Addr().String(), FailureDomain: s.FailureDomain, Region: s.Region,
-		Incarnation: members.Incarnation(time.Now().UnixNano()),
-	}
-	view := members.NewListed(self, e.directory)
-	holder := limit.Member{VM: self.VM, Incarnation: limit.Incarnation(self.Incarnation)}
-	e.shares = shares.NewKeeper(shares.KeeperOptions{
-		Self: holder, Members: view, Store: e.opts.Store, Client: client,
-		Log: e.opts.Log, Timeline: e.ring, Metrics: e.metrics.Scope,
-	})
-	e.asker = shares.NewAsker(shares.AskerOptions{
-		Self: holder, Keeper: e.shares, Client: client, Peers: shares.FromView(view), Metrics: e.metrics.Scope,
-	})
-	e.tree.Add(e.shares)
-	e.tree.Add(e.asker)
-}
-
-// fleetHandler serves the other processes of the fleet.
-func (e *Entry) fleetHandler() http.Handler {
-	router := chi.NewRouter()
-	router.Mount(shares.PathPrefix, e.shares.Handler())
-	router.Mount(timeline.Path, timeline.NewHandler(e.ring))
-	return router
-}
-
 func (e *Entry) callersHandler(client *transport.Client) http.Handler {
 	s := e.opts.Settings
 	dispatcher := dispatch.New(dispatch.Options{
@@ -150,12 +119,12 @@
 		}),
 		Timeline: e.ring,
 		Metrics:  e.metrics.Scope,
-		Notices:  e.notices,
+		Notices:  e.fleet.notices,
 	})
 	return callers.NewHandler(callers.Options{
-		Config:       e.replica.Current,
-		Freshness:    alwaysFresh{},
-		Limiter:      admission.NewFleet(e.asker, e.replica.Current),
+		Config:       e.fleet.replica.Current,
+		Freshness:    e.fleet.freshness,
+		Limiter:      admission.NewFleet(e.asker, e.fleet.replica.Current),
 		Dispatcher:   dispatcher,
 		Running:      e.running,
 		Timeline:     e.ring,
@@ -169,10 +138,16 @@
 
 func (e *Entry) operatorsHandler(client *transport.Client) http.Handler {
 	return operators.NewHandler(operators.Options{
-		Editor:   config.NewEditor(e.opts.Store),
-		Config:   e.replica.Current,
-		Timeline: gather.NewHandler(gather.Options{VM: e.opts.Settings.VM, Ring: e.ring, Client: client, Directory: e.directory}),
-		Token:    e.opts.Settings.OperatorsToken,
+		VM:        e.opts.Settings.VM,
+		Editor:    e.newEditor(),
+		Survey:    e.fleet.survey,
+		Config:    e.fleet.replica.Current,
+		Providers: e.statusProviders(),
+		Ring:      e.ring,
+		Timeline: gather.NewHandler(gather.Options{
+			VM: e.opts.Settings.VM, Ring: e.ring, Client: client, Directory: e.directory,
+		}),
+		Token: e.opts.Settings.OperatorsToken,
 	})
 }
 
@@ -196,18 +171,14 @@
 
 func (e *Entry) drain() {
 	e.ready.Not("draining")
+	e.fleet.members.SetLeaving()
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
 	e.shares.Leave(context.Background())
 	time.Sleep(e.opts.Settings.DrainDelay)
 }
 
-// alwaysFresh trusts the configuration whatever its age.
-type alwaysFresh struct{}
-
-// Fresh implements callers.Freshness.
-func (alwaysFresh) Fresh() bool { return true }
-
 // Ready reports whether the entry can serve callers.
 func (e *Entry) Ready() bool {
-	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero() && e.shares.Ready()
+	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero() &&
+		e.shares.Ready() && e.fleet.freshness.Fresh()
 }
--- a/internal/fleet/rpc/timeline.twirp.go
+++ b/internal/fleet/rpc/timeline.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *timelineServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *timelineServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "hyssop.timeline", "Timeline")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 424 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x53, 0xcd, 0x8e, 0xd3, 0x40,
 	0x0c, 0x56, 0x9a, 0x34, 0x6d, 0xbd, 0xb0, 0x88, 0x11, 0x5a, 0x8d, 0x7a, 0xaa, 0xc2, 0xa5, 0xa7,
