--- /dev/null
+++ b/internal/policy/placement/memory_test.go
@@ -0,0 +1,30 @@
+package placement
+
+import (
+	"runtime"
+	"testing"
+)
+
+// BenchmarkMemory reports the bytes that a placer holds after it has seen every
+// adapter once, each with an answer and a prefix.
+func BenchmarkMemory(b *testing.B) {
+	jobs := targetJobs()
+	for b.Loop() {
+		before := heapBytes()
+		p := targetPlacer()
+		for i, job := range jobs {
+			job.Prefix = uint64(i + 1)
+			vm := p.Choose(start, job)[0]
+			p.Answered(start, vm, job, "boot", Load{Capacity: 16})
+		}
+		b.ReportMetric(float64(heapBytes()-before), "bytes/placer")
+		runtime.KeepAlive(p)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
