--- a/cmd/hyssop-agent/main.go
+++ b/cmd/hyssop-agent/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/agent"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
+	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -50,6 +51,10 @@
 	process.Flag(app, "order-timeout", "Longest time for one order to the endpoint.").Default("30s").DurationVar(&s.OrderTimeout)
 	process.Flag(app, "drain-timeout", "Longest time that running work gets at shutdown.").Default("5m").DurationVar(&s.DrainTimeout)
 	process.Flag(app, "store-timeout", "Longest time for one call to the key-value service.").Default("2s").DurationVar(&s.StoreTimeout)
+	process.Flag(app, "claim-retention", "How long an Idempotency-Key is remembered.").Default("24h").DurationVar(&s.ClaimRetention)
+	process.Flag(app, "vm-list", "URL of the platform's VM list, to learn that this VM is leaving and whom to ask for load permits; not read where empty.").StringVar(&s.VMListURL)
+	process.Flag(app, "loads-per-second", "Adapter loads that may begin in a second over the whole fleet.").Default("4").Int64Var(&s.LoadsPerSecond)
+	process.Flag(app, "loads-in-flight", "Adapter loads that may run at once over the whole fleet.").Default("8").Int64Var(&s.LoadsInFlight)
 	process.Flag(app, "max-body-bytes", "Largest request body in bytes.").Default("4194304").Int64Var(&s.MaxBodyBytes)
 	process.Flag(app, "timeline-events", "Events that the time line keeps.").Default("8192").IntVar(&s.TimelineEvents)
 }
@@ -63,7 +68,12 @@
 	if err != nil {
 		return err
 	}
+	var list vmlist.List
+	if s.VMListURL != "" {
+		list = vmlist.NewClient(s.VMListURL, s.StoreTimeout)
+	}
 	a, err := agent.New(agent.Options{
+		VMList:        list,
 		Settings:      s,
 		Store:         store.NewConsul(store.ConsulOptions{Address: s.StoreAddress, Prefix: "hyssop/", Timeout: s.StoreTimeout}),
 		FleetListener: fleet,
--- a/internal/entry/callers/callers.go
+++ b/internal/entry/callers/callers.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -86,15 +87,25 @@
 }
 
 func (h *handler) begin(w http.ResponseWriter, r *http.Request) *call {
-	id := ident.RequestID(r.Header.Get(HeaderRequestID))
-	if !ident.ValidRequestID(string(id)) {
-		id = ident.NewRequestID()
-	}
+	id := requestID(r)
 	w.Header().Set(HeaderRequestID, string(id))
 	h.metrics.requests.Inc(1)
 	return &call{id: id, w: w, r: r, config: h.opts.Config()}
 }
 
+// requestID takes the caller's request id, or makes one where it has none,
+// where it is malformed and where it holds the caller's key.
+func requestID(r *http.Request) ident.RequestID {
+	id := r.Header.Get(HeaderRequestID)
+	if !ident.ValidRequestID(id) {
+		return ident.NewRequestID()
+	}
+	if key := bearerKey(r); key != "" && strings.Contains(id, key) {
+		return ident.NewRequestID()
+	}
+	return ident.RequestID(id)
+}
+
 // refuse ends a call with a refusal.
 func (h *handler) refuse(c *call, r *refusal.Refusal) {
 	r.RequestID = c.id
@@ -115,6 +126,10 @@
 func (h *handler) run(c *call, req dispatch.Request) {
 	ctx, done := h.track(c)
 	defer done()
+	if refused := h.lostMeanwhile(c); refused != nil {
+		h.refuse(c, refused)
+		return
+	}
 	grant, err := h.reserve(ctx, c, req.Job.Cost)
 	if err != nil {
 		h.refuse(c, limited(err))
@@ -137,6 +152,22 @@
 	return h.opts.Running.Add(c.r.Context(), c.key)
 }
 
+// lostMeanwhile refuses a call whose key went, or whose entry lost touch,
+// between the call's authentication and its entry in the index of running
+// requests, where a cut finds it.
+func (h *handler) lostMeanwhile(c *call) *refusal.Refusal {
+	if c.key == "" {
+		return nil
+	}
+	if !h.opts.Freshness.Fresh() {
+		return stale()
+	}
+	if _, granted := h.opts.Config().Key(c.key); !granted {
+		return unknownKey()
+	}
+	return nil
+}
+
 func (h *handler) reserve(ctx context.Context, c *call, cost int64) (admission.Grant, error) {
 	if c.key == "" {
 		return openGrant{}, nil
@@ -145,34 +176,55 @@
 }
 
 func (h *handler) finish(ctx context.Context, c *call, req dispatch.Request, result dispatch.Result) {
-	if errors.Is(context.Cause(ctx), running.ErrKeyWithdrawn) {
-		h.cut(c, req, result)
-		return
-	}
-	if result.Refusal != nil {
+	whole := result.Refusal == nil && !result.Broken
+	switch {
+	case whole:
+		h.answered(c)
+	case errors.Is(context.Cause(ctx), running.ErrKeyWithdrawn):
+		h.cut(c, req, result, keyWithdrawn)
+	case errors.Is(context.Cause(ctx), running.ErrStale):
+		h.cut(c, req, result, staleWhileRunning)
+	case c.r.Context().Err() != nil:
+		h.cancelled(c)
+	case result.Refusal != nil:
 		h.refuse(c, result.Refusal)
-		return
-	}
-	if result.Broken {
+	default:
 		h.broken(c, req, brokenAnswer())
-		return
 	}
+}
+
+func (h *handler) answered(c *call) {
 	h.metrics.answers.Inc(1)
 	h.opts.Timeline.Record(timeline.Event{
 		Kind: timeline.KindRequestFinished, Request: c.id, Organisation: c.tenant.Organisation,
 	})
 }
 
-// cut ends a request whose key was withdrawn while it ran.
-func (h *handler) cut(c *call, req dispatch.Request, result dispatch.Result) {
+// cancelled ends a request whose caller has gone.
+func (h *handler) cancelled(c *call) {
+	h.metrics.cancelled.Inc(1)
+	h.opts.Timeline.Record(timeline.Event{
+		Kind: timeline.KindRequestCut, Request: c.id, Organisation: c.tenant.Organisation, Detail: "caller gone",
+	})
+	panic(http.ErrAbortHandler)
+}
+
+// cut ends a request that ran when its key was withdrawn or could not be
+// confirmed any more.
+func (h *handler) cut(c *call, req dispatch.Request, result dispatch.Result, why func(refusal.Ran) *refusal.Refusal) {
+	ran := refusal.RanYes
+	if result.Refusal != nil {
+		ran = result.Ran
+	}
+	r := why(ran)
 	h.opts.Timeline.Record(timeline.Event{
-		Kind: timeline.KindRequestCut, Request: c.id, Organisation: c.tenant.Organisation, Detail: "key withdrawn",
+		Kind: timeline.KindRequestCut, Request: c.id, Organisation: c.tenant.Organisation, Detail: string(r.Code),
 	})
 	if result.Refusal != nil {
-		h.refuse(c, keyWithdrawn(result.Ran))
+		h.refuse(c, r)
 		return
 	}
-	h.broken(c, req, keyWithdrawn(refusal.RanYes))
+	h.broken(c, req, r)
 }
 
 // broken ends an answer that has begun and cannot be completed: a stream gets
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,11 +16,13 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/callers"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/endpoints"
+	"github.com/hyssoptiller/hyssoptiller/internal/entry/gather"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/running"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/shares"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
@@ -49,10 +51,13 @@
 	ring      *timeline.Ring
 	ready     *process.Ready
 	metrics   *process.Metrics
-	replica   *config.Replica
+	fleet     fleetParts
 	directory *directory.Directory
 	running   *running.Index
-	tree      *suture.Supervisor
+	shares    *shares.Keeper
+	asker     *shares.Asker
+	tree      *suture.Supervisor // What callers' requests rest on.
+	front     *suture.Supervisor // Callers' listener; ends first.
 }
 
 // New builds the entry's supervisor tree.
@@ -66,12 +71,11 @@
 		ring:      ring,
 		ready:     process.NewReady("no configuration yet"),
 		metrics:   process.NewMetrics(),
-		replica:   config.NewReplica(config.ReplicaOptions{Store: opts.Store, Log: opts.Log, Timeline: ring}),
 		directory: directory.New(directory.Options{List: opts.VMList, Interval: s.VMListInterval, Log: opts.Log}),
 		running:   running.NewIndex(),
 		tree:      process.NewSupervisor("entry", opts.Log, s.DrainTimeout),
+		front:     process.NewSupervisor("entry front", opts.Log, s.DrainTimeout),
 	}
-	e.replica.OnChange(e.configChanged)
 	if err := e.addServices(); err != nil {
 		return nil, err
 	}
@@ -84,14 +88,20 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	fleet, err := transport.NewServer(s.Security, e.clock, http.NotFoundHandler())
+	e.fleet = e.newFleet(client)
+	e.fleet.replica.OnChange(e.configChanged)
+	e.addShares(client)
+	fleet, err := transport.NewServer(s.Security, e.clock, e.fleetHandler())
 	if err != nil {
 		return errors.Trace(err)
 	}
-	e.tree.Add(e.replica)
 	e.tree.Add(e.directory)
-	e.tree.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
-	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(), time.Second))
+	e.tree.Add(e.fleet.replica)
+	e.tree.Add(e.fleet.freshness)
+	e.tree.Add(e.fleet.gossip)
+	e.tree.Add(e.fleet.collector)
+	e.front.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
+	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(client), time.Second))
 	e.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: e.opts.FleetListener, Grace: s.DrainTimeout})
 	admin := process.AdminHandler(e.ready, e.metrics)
 	e.tree.Add(process.NewHTTPServer("admin", e.opts.AdminListener, admin, time.Second))
@@ -108,11 +118,13 @@
 			Metrics:   e.metrics.Scope,
 		}),
 		Timeline: e.ring,
+		Metrics:  e.metrics.Scope,
+		Notices:  e.fleet.notices,
 	})
 	return callers.NewHandler(callers.Options{
-		Config:       e.replica.Current,
-		Freshness:    alwaysFresh{},
-		Limiter:      admission.NewLocal(),
+		Config:       e.fleet.replica.Current,
+		Freshness:    e.fleet.freshness,
+		Limiter:      admission.NewFleet(e.asker, e.fleet.replica.Current),
 		Dispatcher:   dispatcher,
 		Running:      e.running,
 		Timeline:     e.ring,
@@ -124,12 +136,18 @@
 	})
 }
 
-func (e *Entry) operatorsHandler() http.Handler {
+func (e *Entry) operatorsHandler(client *transport.Client) http.Handler {
 	return operators.NewHandler(operators.Options{
-		Editor:   config.NewEditor(e.opts.Store),
-		Config:   e.replica.Current,
-		Timeline: e.ring,
-		Token:    e.opts.Settings.OperatorsToken,
+		VM:        e.opts.Settings.VM,
+		Editor:    e.newEditor(),
+		Survey:    e.fleet.survey,
+		Config:    e.fleet.replica.Current,
+		Providers: e.statusProviders(),
+		Ring:      e.ring,
+		Timeline: gather.NewHandler(gather.Options{
+			VM: e.opts.Settings.VM, Ring: e.ring, Client: client, Directory: e.directory,
+		}),
+		Token: e.opts.Settings.OperatorsToken,
 	})
 }
 
@@ -144,33 +162,23 @@
 
 // Serve runs the entry until ctx ends, then drains: /readyz fails, the
 // balancer gets the drain delay to notice, and running requests finish within
-// the drain timeout.
+// the drain timeout while keys and configuration are still watched.
 func (e *Entry) Serve(ctx context.Context) error {
 	defer e.metrics.Close()
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessStarted})
-	tree, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	done := e.tree.ServeBackground(tree)
-	select {
-	case err := <-done:
-		return err
-	case <-ctx.Done():
-	}
+	return process.NewStages(e.tree, e.front).Serve(ctx, e.drain)
+}
+
+func (e *Entry) drain() {
 	e.ready.Not("draining")
+	e.fleet.members.SetLeaving()
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
+	e.shares.Leave(context.Background())
 	time.Sleep(e.opts.Settings.DrainDelay)
-	stop()
-	<-done
-	return nil
 }
 
-// alwaysFresh trusts the configuration whatever its age.
-type alwaysFresh struct{}
-
-// Fresh implements callers.Freshness.
-func (alwaysFresh) Fresh() bool { return true }
-
 // Ready reports whether the entry can serve callers.
 func (e *Entry) Ready() bool {
-	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero()
+	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero() &&
+		e.shares.Ready() && e.fleet.freshness.Fresh()
 }
