--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -42,7 +42,7 @@
 	a.observe(OutcomeSent)
 	end := a.run(ctx)
 	if end.result.Refusal != nil || end.result.Broken {
-		a.observe(a.outcome(end))
+		a.observe(a.outcome(ctx, end))
 	} else {
 		a.observe(OutcomeDone)
 	}
@@ -50,8 +50,11 @@
 }
 
 // outcome tells an agent that refused, so that nothing ran, from an agent or
-// endpoint that failed.
-func (a *attempt) outcome(end ended) Outcome {
+// endpoint that failed, and both from a caller that left.
+func (a *attempt) outcome(ctx context.Context, end ended) Outcome {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return OutcomeAbandoned
+	}
 	r := end.result.Refusal
 	if r == nil || r.Ran != refusal.RanNo || r.Code == refusal.CodeEndpointFailed {
 		return OutcomeFailed
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -39,11 +39,12 @@
 
 // Values of Outcome.
 const (
-	OutcomeSent    Outcome = iota // The attempt was sent; its answer is due.
-	OutcomeAnswer                 // The answer began.
-	OutcomeDone                   // The whole answer was passed on.
-	OutcomeRefused                // The agent refused; nothing ran.
-	OutcomeFailed                 // The agent or endpoint failed or did not answer.
+	OutcomeSent      Outcome = iota // The attempt was sent; its answer is due.
+	OutcomeAnswer                   // The answer began.
+	OutcomeDone                     // The whole answer was passed on.
+	OutcomeRefused                  // The agent refused; nothing ran.
+	OutcomeFailed                   // The agent or endpoint failed or did not answer.
+	OutcomeAbandoned                // The caller left first, which says nothing about the endpoint.
 )
 
 // Observation tells Endpoints about one attempt.
--- a/internal/entry/endpoints/endpoints.go
+++ b/internal/entry/endpoints/endpoints.go
@@ -117,6 +117,8 @@
 	case dispatch.OutcomeRefused:
 		c.metrics.refused.Inc(1)
 		c.placer.Refused(time.Now(), o.VM, placementJob(o.Job), placementLoad(o.Load))
+	case dispatch.OutcomeAbandoned:
+		c.placer.Abandoned(o.VM)
 	default:
 		c.metrics.failed.Inc(1)
 		c.placer.Failed(time.Now(), o.VM)
--- a/internal/entry/endpoints/endpoints_test.go
+++ b/internal/entry/endpoints/endpoints_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// A caller that leaves says nothing about the endpoint.
+func TestAbandonedAttemptHoldsNothingBack(t *testing.T) {
+	c, _ := newTestChooser(engineVM("vm-1", vmlist.StateLive), engineVM("vm-2", vmlist.StateLive))
+	first := c.Candidates(testJob())[0].ID
+	for range 50 {
+		c.Observe(dispatch.Observation{Job: testJob(), VM: first, Outcome: dispatch.OutcomeSent})
+		c.Observe(dispatch.Observation{Job: testJob(), VM: first, Outcome: dispatch.OutcomeAbandoned})
+	}
+	if got := c.Candidates(testJob()); got[0].ID != first {
+		t.Fatalf("abandoned attempts moved the choice to %v", got)
+	}
+}
+
 func TestUnsentAttemptIsNotCounted(t *testing.T) {
 	c, _ := newTestChooser(engineVM("vm-1", vmlist.StateLive), engineVM("vm-2", vmlist.StateLive))
 	first := c.Candidates(testJob())[0].ID
--- a/internal/experiment/endpoints/engine.go
+++ b/internal/experiment/endpoints/engine.go
@@ -122,12 +122,11 @@
 }
 
 const (
-	loadTime      = 250 * time.Millisecond
-	freeLoads     = 8 // Loads in flight that do not slow each other down.
-	loadBurst     = 4 // Loads that may begin at once after a pause.
-	unloadTime    = 5 * time.Millisecond
-	networkDelay  = time.Millisecond
-	loadIntervals = time.Second
+	loadTime     = 250 * time.Millisecond
+	freeLoads    = 8 // Loads in flight that do not slow each other down.
+	loadBurst    = 4 // Loads that may begin at once after a pause.
+	unloadTime   = 5 * time.Millisecond
+	networkDelay = time.Millisecond
 )
 
 // permit calls granted when a load may begin.
--- a/internal/experiment/endpoints/run.go
+++ b/internal/experiment/endpoints/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/placement"
@@ -41,8 +42,8 @@
 	return r
 }
 
-func interval(perSecond float64) simulatedTime {
-	return simulatedTime(float64(loadIntervals) / perSecond)
+func interval(perSecond float64) time.Duration {
+	return time.Duration(float64(time.Second) / perSecond)
 }
 
 func (r *run) agents(kind string, n int, plain bool) []*agent {
--- a/internal/experiment/endpoints/systems.go
+++ b/internal/experiment/endpoints/systems.go
@@ -4,7 +4,6 @@
 	"container/list"
 	"math/rand/v2"
 	"sort"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,7 +23,7 @@
 	lru    bool
 }
 
-// Rules by which a system chooses endpoints, best first.
+// systems are measured in this order.
 var systems = []system{
 	{name: "hyssoptiller", choose: chooseByPlacement},
 	{name: "random endpoint", choose: chooseAtRandom, fifo: true, lru: true},
@@ -128,6 +127,3 @@
 	sort.Slice(out, func(i, j int) bool { return score(out[i]) > score(out[j]) })
 	return out
 }
-
-// simulatedTime keeps durations of a run apart from those of the machine.
-type simulatedTime = time.Duration
--- a/internal/policy/placement/observe.go
+++ b/internal/policy/placement/observe.go
@@ -6,8 +6,8 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
-// Sent tells that an attempt was sent. It is followed by one of Done, Refused
-// and Failed, with Answered before it where the endpoint answered.
+// Sent tells that an attempt was sent. It is followed by one of Done, Refused,
+// Failed and Abandoned, with Answered before it where the endpoint answered.
 func (p *Placer) Sent(vm ident.VM) {
 	if n, ok := p.nodes[vm]; ok {
 		n.own++
@@ -82,6 +82,13 @@
 	n.fail(now, p.config.Holdback, p.config.MaxHoldback)
 }
 
+// Abandoned tells that the caller left before the attempt ended.
+func (p *Placer) Abandoned(vm ident.VM) {
+	if n, ok := p.nodes[vm]; ok {
+		n.own = max(n.own-1, 0)
+	}
+}
+
 // maxHoldings bounds the nodes that one adapter is believed to be on.
 const maxHoldings = 64
 
