--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -11,6 +11,7 @@
 package wire
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,6 +21,9 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
+// maxTimeout bounds the time left that an attempt may claim.
+const maxTimeout = 24 * time.Hour
+
 // PathRun is the agent's path for attempts.
 const PathRun = "/run"
 
@@ -108,7 +112,7 @@
 	set(HeaderPriority, strconv.Itoa(j.Priority))
 	set(HeaderWeight, strconv.Itoa(j.Weight))
 	set(HeaderCost, strconv.FormatInt(j.Cost, 10))
-	set(HeaderTimeout, strconv.FormatInt(j.Timeout.Milliseconds(), 10))
+	set(HeaderTimeout, strconv.FormatInt(max(j.Timeout.Milliseconds(), 0), 10))
 	if !j.Deadline.IsZero() {
 		set(HeaderDeadline, strconv.FormatInt(j.Deadline.UnixMilli(), 10))
 	}
@@ -133,9 +137,9 @@
 		Idempotent:     d.boolean(HeaderIdempotent),
 		IdempotencyKey: h.Get(HeaderIdempotencyKey),
 		Priority:       int(d.integer(HeaderPriority)),
-		Weight:         int(d.integer(HeaderWeight)),
-		Cost:           d.integer(HeaderCost),
-		Timeout:        time.Duration(d.integer(HeaderTimeout)) * time.Millisecond,
+		Weight:         int(d.natural(HeaderWeight, math.MaxInt32)),
+		Cost:           d.natural(HeaderCost, math.MaxInt64),
+		Timeout:        time.Duration(d.natural(HeaderTimeout, maxTimeout.Milliseconds())) * time.Millisecond,
 		Deadline:       d.optionalTime(HeaderDeadline),
 		Stream:         d.boolean(HeaderStream),
 		Alone:          d.boolean(HeaderAlone),
@@ -170,6 +174,16 @@
 	return value
 }
 
+// natural returns a number from 0 to most.
+func (d *decoder) natural(name string, most int64) int64 {
+	value := d.integer(name)
+	if value < 0 || value > most {
+		d.fail(name)
+		return 0
+	}
+	return value
+}
+
 func (d *decoder) integer(name string) int64 {
 	value, err := strconv.ParseInt(d.header.Get(name), 10, 64)
 	if err != nil {
--- /dev/null
+++ b/internal/fleet/wire/wire_test.go
@@ -0,0 +1,69 @@
+package wire
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+func sampleJob() Job {
+	return Job{
+		Request: "r-1", Attempt: "0123456789abcdef01234567", Organisation: "smithy", Base: "base",
+		Adapter: "syllabus", Version: "v1", Method: http.MethodPost, Path: "/v1/completions?x=1",
+		ContentType: "application/json", Idempotent: true, IdempotencyKey: "key", Priority: 1, Weight: 2,
+		Cost: 300, Timeout: 30 * time.Second, Stream: true,
+	}
+}
+
+func TestJobIsReadBack(t *testing.T) {
+	h := make(http.Header)
+	sampleJob().Encode(h)
+	got, err := Decode(h)
+	if err != nil || got != sampleJob() {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+}
+
+// FuzzDecode reads headers of any form: what is accepted is written and read
+// back as the same job.
+func FuzzDecode(f *testing.F) {
+	f.Add("r", "a", "POST", "/x", "true", "1", "1", "10", "1000", "false", "false")
+	f.Add("", "a", "POST", "/x", "true", "1", "1", "10", "1000", "false", "false")
+	f.Add("r", "a", "POST", "/x", "1", "-1", "0", "9223372036854775808", "-5", "T", "no")
+	f.Add("r", "a", "GET", "x", "true", "1", "1", "-10", "9223372036854775807", "false", "false")
+	f.Fuzz(func(t *testing.T, request, attempt, method, path, idempotent, priority, weight, cost, timeout, stream, alone string) {
+		h := http.Header{}
+		for name, value := range map[string]string{
+			HeaderRequest: request, HeaderAttempt: attempt, HeaderMethod: method, HeaderPath: path,
+			HeaderIdempotent: idempotent, HeaderPriority: priority, HeaderWeight: weight, HeaderCost: cost,
+			HeaderTimeout: timeout, HeaderStream: stream, HeaderAlone: alone,
+		} {
+			h.Set(name, value)
+		}
+		job, err := Decode(h)
+		if err != nil {
+			return
+		}
+		if job.Cost < 0 || job.Timeout < 0 || job.Weight < 0 {
+			t.Fatalf("accepted %+v", job)
+		}
+		again := make(http.Header)
+		job.Encode(again)
+		read, err := Decode(again)
+		if err != nil || read != job {
+			t.Fatalf("%+v was read back as %+v, %v", job, read, err)
+		}
+	})
+}
+
+func BenchmarkEncodeDecode(b *testing.B) {
+	job := sampleJob()
+	b.ReportAllocs()
+	for b.Loop() {
+		h := make(http.Header, 24)
+		job.Encode(h)
+		if _, err := Decode(h); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/vmlist/vmlist_test.go
@@ -0,0 +1,41 @@
+package vmlist
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// FuzzClient reads lists of any form: an answer is rows or ErrUnavailable.
+func FuzzClient(f *testing.F) {
+	for _, body := range []string{
+		`[]`, `null`, `{}`, `[{"id":"engine-1","role":"engine","address":"10.0.0.1:7000","state":"live"}]`,
+		`[{"id":1}]`, `[`, `[{"id":"a"}] trailing`, "",
+	} {
+		f.Add(http.StatusOK, body)
+	}
+	f.Add(http.StatusServiceUnavailable, `[]`)
+	f.Fuzz(func(t *testing.T, status int, body string) {
+		if status < 200 || status > 599 {
+			return
+		}
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		}))
+		defer server.Close()
+		vms, err := NewClient(server.URL, time.Minute).VMs(t.Context())
+		if err != nil && !errors.Is(err, ErrUnavailable) {
+			t.Fatalf("error of no known kind: %v", err)
+		}
+		if err != nil && vms != nil {
+			t.Fatalf("rows beside an error: %v", vms)
+		}
+		if status != http.StatusOK && err == nil {
+			t.Fatalf("status %d was taken for a list", status)
+		}
+	})
+}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -147,7 +147,10 @@
 	if err := json.Unmarshal(data, &b); err != nil || b.Error.Code == "" {
 		return nil, false
 	}
-	seconds, _ := strconv.Atoi(header.Get("Retry-After"))
+	seconds, err := strconv.ParseUint(header.Get("Retry-After"), 10, 32)
+	if err != nil {
+		seconds = 0
+	}
 	return &Refusal{
 		Status:     status,
 		Type:       b.Error.Type,
