--- a/internal/proof/matrix/faults_test.go
+++ b/internal/proof/matrix/faults_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/engine"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/proof/harness"
@@ -21,6 +23,7 @@
 	lateAnswer  = 40 * time.Second // Beyond the request's timeout.
 	slowStore   = time.Second
 	floodCalls  = 60
+	crowdBuilds = 3
 	floodEvery  = 50 * time.Millisecond
 	cutObserved = 8 * time.Second // Held past the promise on withdrawn keys.
 )
@@ -72,6 +75,7 @@
 	{name: "endpoint leaving, by its own word", only: enginesOnly, inject: engineDrains, harmless: always, costly: true},
 	{name: "operators race", inject: operatorsRace, harmless: always},
 	{name: "new version in the plan", only: enginesOnly, inject: upgrade, harmless: always},
+	{name: "other adapters crowd the engine", only: enginesOnly, inject: crowd, harmless: always},
 	{name: "neighbour floods", inject: flood, harmless: always},
 }
 
@@ -184,6 +188,18 @@
 	}
 }
 
+// crowd has more builds asked for at the subject's engine than it has slots.
+func crowd(w *world) {
+	for i := range crowdBuilds {
+		adapter := "crowd-" + strconv.Itoa(i)
+		w.f.Occupy(w.t.Context(), w.target(), wire.Job{
+			Request: ident.RequestID(adapter), Attempt: ident.NewAttemptID(), Organisation: "crowd", Base: harness.Base,
+			Adapter: ident.Adapter(adapter), Version: "v1", Method: http.MethodPost, Path: "/v1/completions",
+			Idempotent: true, Weight: 1, Cost: maxTokens, Timeout: time.Minute,
+		}, `{"model":"`+adapter+`@v1","max_tokens":1,"prompt":"`+blockMarker+`-crowd"}`)
+	}
+}
+
 // flood sends several times the neighbour's rate through both entries.
 func flood(w *world) {
 	k := kinds[0]
