--- a/internal/agent/schedule/service.go
+++ b/internal/agent/schedule/service.go
@@ -23,12 +23,13 @@
 	maxBypass        = 4
 	maxLeadTokens    = 4_000
 	maxLagTokens     = 50_000
+	loadTokens       = 1_000
 	rateHalfLife     = 10 * time.Second
-	maxLoads         = 2
+	maxLoads         = 1
 	failureBackoff   = time.Second
 	maxBackoff       = 30 * time.Second
 	repeatDelay      = 250 * time.Millisecond
-	demandHalfLife   = time.Minute
+	demandHalfLife   = 30 * time.Second
 	rememberedBuilds = 256
 	wantedBuilds     = 16
 	// slotPatience is the time that an attempt waits while every slot is in use.
@@ -114,6 +115,7 @@
 		MaxBypass:    maxBypass,
 		MaxLead:      maxLeadTokens,
 		MaxLag:       maxLagTokens,
+		LoadTokens:   loadTokens,
 		RateHalfLife: rateHalfLife,
 	}
 }
--- a/internal/entry/callers/refusals.go
+++ b/internal/entry/callers/refusals.go
@@ -44,6 +44,13 @@
 		"this entry cannot confirm which keys are granted now").After(staleRetryAfter)
 }
 
+func staleWhileRunning(ran refusal.Ran) *refusal.Refusal {
+	r := stale()
+	r.Message = "this entry lost touch while the request ran and cannot confirm its key"
+	r.Ran = ran
+	return r
+}
+
 func unknownModel(model string) *refusal.Refusal {
 	return refusal.Newf(refusal.CodeUnknownModel, refusal.RanNo,
 		"the organisation's plan names no model %.64q", model)
--- a/internal/policy/limit/machine_test.go
+++ b/internal/policy/limit/machine_test.go
@@ -23,7 +23,7 @@
 }
 
 const (
-	testRate  = 10
+	testRate  = 25
 	testBurst = 40
 	goneAfter = 10 * time.Second // Off the list for so long: certainly gone.
 	firstVMs  = 4
@@ -176,7 +176,7 @@
 	id := ReservationID(fmt.Sprintf("%s-%d-%d", p.self.VM, p.self.Incarnation, w.next))
 	plan := NewPlan(p.gen, w.account, testTerms, id, tokens)
 	for i := range Shares {
-		plan.Estimate(i, Parts(w.rng.IntN(testBurst+1)))
+		plan.Estimate(i, Parts(w.rng.IntN(testBurst+1)), time.Second)
 	}
 	w.step(&asking{by: p, plan: plan})
 }
@@ -226,9 +226,18 @@
 	}
 	one := &admitted{at: w.now, used: total, parts: a.plan.Parts(), from: a.by}
 	w.all = append(w.all, one)
+	if a.plan.Tell() || w.rng.IntN(2) == 0 {
+		w.tell(a.plan)
+	}
 	w.open = append(w.open, one)
 }
 
+func (w *world) tell(plan *Plan) {
+	for _, part := range plan.Parts() {
+		w.send(part.Holder, func(h *proc) { h.Admitted(w.now, part.Share, part.ID) })
+	}
+}
+
 func (w *world) settle(part Part, used Parts) {
 	w.send(part.Holder, func(h *proc) {
 		if h.Settle(w.now, part.Share, part.ID, used) {
@@ -461,11 +470,32 @@
 	w.propose(w.rng.IntN(5) == 0)
 }
 
+// outlive pauses a process, lets the others take it for gone, and resumes it
+// while it still believes that it holds its shares.
+func (w *world) outlive() {
+	p := w.pick()
+	if p == nil || len(w.running()) < 2 || !w.listed[p.self.VM] {
+		return
+	}
+	w.storeUp = true
+	p.paused = true
+	w.listed[p.self.VM] = false
+	w.off[p.self.VM] = w.now
+	w.advance(goneAfter)
+	for range 3 {
+		w.progress()
+		w.advance(500 * time.Millisecond)
+	}
+	w.flood(5)
+	p.paused = false
+	w.flood(5)
+}
+
 // fault does one of the things that go wrong.
 func (w *world) fault() {
 	faults := []func(){
 		w.drop, func() { w.deliver(true) }, w.pause, w.pause, w.resume, w.unlist, w.unlist, w.restart, w.kill,
-		w.join, w.join, func() { w.storeUp = false }, func() { w.storeUp = true }, func() { w.storeUp = true },
+		w.join, w.join, w.outlive, w.outlive, func() { w.storeUp = false }, func() { w.storeUp = true }, func() { w.storeUp = true },
 	}
 	faults[w.rng.IntN(len(faults))]()
 	if len(w.running()) == 0 {
