Shares: a change that no member takes is tried at the pace of the rounds

Cause: the harness hung now and then; the stack showed a keeper that asked, found no member that answers, noted the change and woke itself at once. Change: noting a change does not begin a round; only a member's request does.

--- a/internal/fleet/shares/generations.go
+++ b/internal/fleet/shares/generations.go
@@ -135,13 +135,22 @@
 	k.propose(ctx, gen)
 }
 
-// want notes a change that the next generation is to make.
+// want notes a change that the next generation is to make. It does not begin
+// a round, so that a change that cannot be made now is tried at the pace of
+// the rounds.
 func (k *Keeper) want(c limit.Change) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.change.Join = append(k.change.Join, c.Join...)
-	k.change.Leave = append(k.change.Leave, c.Leave...)
-	k.wake()
+	for _, m := range c.Join {
+		if !holds(k.change.Join, m) {
+			k.change.Join = append(k.change.Join, m)
+		}
+	}
+	for _, m := range c.Leave {
+		if !holds(k.change.Leave, m) {
+			k.change.Leave = append(k.change.Leave, m)
+		}
+	}
 }
 
 // propose makes the next generation where a change is wanted.
