--- a/internal/fleet/config/check.go
+++ b/internal/fleet/config/check.go
@@ -32,6 +32,25 @@
 	Services []string
 }
 
+// with adds the names that are in force: the last VM of a service may be off
+// the list for a while, and the list must be editable then.
+func (c Catalog) with(former Allowances) Catalog {
+	bases, services := slices.Clone(c.Bases), slices.Clone(c.Services)
+	for _, a := range former.Allowances {
+		for _, use := range a.Adapters {
+			if len(bases) > 0 && !slices.Contains(bases, string(use.Base)) {
+				bases = append(bases, string(use.Base))
+			}
+		}
+		for _, use := range a.Services {
+			if len(services) > 0 && !slices.Contains(services, string(use.Name)) {
+				services = append(services, string(use.Name))
+			}
+		}
+	}
+	return Catalog{Bases: bases, Services: services}
+}
+
 // parse checks a list against the other one and returns the tables with the
 // list in them, or an *Invalid error.
 func (e *Editor) parse(list List, text string, present tables) (tables, error) {
@@ -47,7 +66,11 @@
 	if err != nil {
 		return tables{}, err
 	}
-	allowances, err := parseAllowances(text, users, e.opts.Catalog())
+	former, err := allowancesOf(present.allowances)
+	if err != nil {
+		return tables{}, err
+	}
+	allowances, err := parseAllowances(text, users, e.opts.Catalog().with(former))
 	if err != nil {
 		return tables{}, err
 	}
--- a/internal/fleet/config/check_test.go
+++ b/internal/fleet/config/check_test.go
@@ -69,6 +69,16 @@
 	}
 }
 
+func TestNamesInForceStayValid(t *testing.T) {
+	former := Allowances{Allowances: []Allowance{{
+		Adapters: []AdapterUse{{Base: "base-7b"}}, Services: []ServiceUse{{Name: "booking"}},
+	}}}
+	got := Catalog{Bases: []string{"base-13b"}}.with(former)
+	if len(got.Bases) != 2 || len(got.Services) != 0 {
+		t.Errorf("%+v", got)
+	}
+}
+
 func TestPlansAreCheckedAgainstAllowances(t *testing.T) {
 	for _, c := range []struct{ text, want string }{
 		{"plans:\n- {organisation: a, plan: glod}", `line 2, column 27: the allowances list has no plan "glod"; did you mean "gold"?`},
