--- a/internal/experiment/quarantine/crash.go
+++ b/internal/experiment/quarantine/crash.go
@@ -11,7 +11,6 @@
 const (
 	step           = 100 * time.Millisecond
 	length         = 30 * time.Minute
-	endpoints      = 18
 	entries        = 4
 	innocentRate   = 20              // Requests a second, each with a body of its own.
 	innocentTime   = 2 * time.Second // Of one run.
@@ -76,7 +75,7 @@
 	policy    policy
 	rng       *rand.Rand
 	now       time.Time
-	endpoints [endpoints]endpoint
+	endpoints []endpoint
 	ledgers   [entries]*quarantine.Ledger
 	suspects  map[quarantine.Fingerprint]notice
 	refused   map[quarantine.Fingerprint]notice
@@ -90,9 +89,10 @@
 	delays     []time.Duration // Of the answered ones that a crash met, beyond their run.
 }
 
-func newCrashes(p policy, seed uint64) *crashes {
+func newCrashes(p policy, endpoints int, seed uint64) *crashes {
 	c := &crashes{
-		policy: p, rng: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(0, 0),
+		endpoints: make([]endpoint, endpoints),
+		policy:    p, rng: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(0, 0),
 		suspects: make(map[quarantine.Fingerprint]notice), refused: make(map[quarantine.Fingerprint]notice),
 	}
 	for i := range c.ledgers {
@@ -272,7 +272,7 @@
 // choose returns the least busy endpoint that the request may run on, or nil.
 func (c *crashes) choose(r *request) *endpoint {
 	var best *endpoint
-	for _, i := range c.rng.Perm(endpoints) {
+	for _, i := range c.rng.Perm(len(c.endpoints)) {
 		e := &c.endpoints[i]
 		if c.now.Before(e.downUntil) || c.policy.apart && r.verdict == quarantine.VerdictAlone && e.hasSuspect() {
 			continue
--- a/internal/experiment/quarantine/experiment.go
+++ b/internal/experiment/quarantine/experiment.go
@@ -28,14 +28,16 @@
 
 func runCrashes(_ context.Context, opts experiment.Options, out io.Writer) error {
 	heading := []string{
-		"policy", "lost per bad request", "lost in all", "innocents refused by quarantine", "innocents unanswered",
+		"endpoints", "policy", "lost per bad request", "lost in all", "innocents refused by quarantine", "innocents unanswered",
 		"met by a crash", "delay p50", "delay max",
 	}
 	var rows [][]string
-	for _, p := range policies() {
-		c := newCrashes(p, opts.Seed)
-		c.run()
-		rows = append(rows, c.row())
+	for _, endpoints := range []int{18, 4} {
+		for _, p := range policies() {
+			c := newCrashes(p, endpoints, opts.Seed)
+			c.run()
+			rows = append(rows, c.row())
+		}
 	}
 	return experiment.Table(out, heading, rows)
 }
@@ -47,6 +49,7 @@
 		median, longest = c.delays[n/2], c.delays[n-1]
 	}
 	return []string{
+		fmt.Sprint(len(c.endpoints)),
 		c.policy.name,
 		fmt.Sprintf("%.1f", float64(c.lost)/badRequests),
 		fmt.Sprint(c.lost),
--- /dev/null
+++ b/internal/policy/quarantine/bench_test.go
@@ -0,0 +1,17 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkRequest is what the ledger costs a request that ends well, with a
+// body of 4 KiB and a full ledger.
+func BenchmarkRequest(b *testing.B) {
+	l := NewLedger(DefaultLimits())
+	body := make([]byte, 4<<10)
+	for i := 0; b.Loop(); i++ {
+		id := NewFingerprint("smithy", fmt.Sprint(i), body)
+		l.End(id, l.Begin(id, start), OutcomeFinished, start)
+	}
+}
