--- a/internal/agent/claims/claims_test.go
+++ b/internal/agent/claims/claims_test.go
@@ -121,6 +121,14 @@
 		if repeat.Writes-first.Writes != 1 || repeat.Reads-first.Reads != 1 {
 			t.Errorf("a repeat cost %+v after %+v, want 1 write and 1 read", repeat, first)
 		}
+		time.Sleep(retention + time.Minute)
+		for shard := range claim.Shards {
+			c.sweep(context.Background(), shard)
+		}
+		swept := memory.Calls()
+		if swept.Writes-repeat.Writes != 1 || swept.Reads-repeat.Reads != claim.Shards {
+			t.Errorf("a round of sweeps cost %+v after %+v, want 1 write and a read a shard", swept, repeat)
+		}
 	})
 }
 
