--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,13 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
 )
 
+// errSilent ends an attempt that its agent did not accept in time.
+const errSilent = errors.ConstError("agent silent")
+
+// acceptTimeout is the longest time that an agent may take to accept an
+// attempt that may be run elsewhere.
+const acceptTimeout = 2 * time.Second
+
 // attempt is one attempt on its way through this package.
 type attempt struct {
 	d    *Dispatcher
@@ -63,26 +71,53 @@
 }
 
 func (a *attempt) run(ctx context.Context) ended {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	var connected atomic.Bool
+	accepted := a.awaitAccepted(cancel)
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn:        func(httptrace.GotConnInfo) { connected.Store(true) },
+		Got1xxResponse: func(int, textproto.MIMEHeader) error { accepted(); return nil },
 	})
 	httpReq, err := a.request(traced)
 	if err != nil {
+		accepted()
 		return ended{result: refused(unsent()), kind: retry.KindUnreached}
 	}
 	resp, err := a.d.opts.Client.HTTP.Do(httpReq)
-	if err != nil && !connected.Load() {
-		// No connection, so not a byte has left.
-		return ended{result: refused(unsent()), kind: retry.KindUnreached}
-	}
+	accepted()
 	if err != nil {
-		return ended{result: refused(unanswered(ctx)), kind: retry.KindFailed}
+		return a.unanswered(ctx, connected.Load())
 	}
 	defer resp.Body.Close()
 	return a.receive(ctx, resp)
 }
 
+// awaitAccepted cancels the attempt where its agent does not accept it in
+// time, if there is another agent to ask. The returned function tells that it
+// was accepted.
+func (a *attempt) awaitAccepted(cancel context.CancelCauseFunc) func() {
+	if !a.req.impatient {
+		return func() {}
+	}
+	timer := time.AfterFunc(acceptTimeout, func() { cancel(errSilent) })
+	return func() { timer.Stop() }
+}
+
+// unanswered ends an attempt that got no answer. Without a connection not a
+// byte has left. An agent that was silent has spent no work that is known of,
+// so that leaving it is not charged as a retry.
+func (a *attempt) unanswered(ctx context.Context, connected bool) ended {
+	if !connected {
+		return ended{result: refused(unsent()), kind: retry.KindUnreached}
+	}
+	if errors.Is(context.Cause(ctx), errSilent) {
+		a.d.metrics.silent.Inc(1)
+		return ended{result: refused(unanswered(ctx)), kind: retry.KindUnreached}
+	}
+	return ended{result: refused(unanswered(ctx)), kind: retry.KindFailed}
+}
+
 // request builds the agent's request. Its body is of a type that net/http
 // cannot send a second time by itself, also where it is empty.
 func (a *attempt) request(ctx context.Context) (*http.Request, error) {
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -103,6 +103,10 @@
 	Job      wire.Job  // Attempt, Timeout and Deadline are set for each attempt.
 	Body     []byte    // In the form that the endpoint expects.
 	Deadline time.Time // When the caller's time is up.
+
+	// impatient says that an agent which does not accept the attempt soon is
+	// left for another. It is set for each attempt.
+	impatient bool
 }
 
 // Result tells what became of a request.
@@ -124,6 +128,7 @@
 	last := ended{result: refused(noEndpoint()), kind: retry.KindFinal}
 	candidates := d.opts.Endpoints.Candidates(req.Job)
 	for i, vm := range candidates {
+		req.impatient = req.Job.Idempotent && i+1 < min(len(candidates), d.opts.Retry.MaxAttempts)
 		last = d.try(ctx, req, vm, w)
 		if last.result.Refusal == nil {
 			return last.result
--- a/internal/entry/dispatch/metrics.go
+++ b/internal/entry/dispatch/metrics.go
@@ -11,6 +11,7 @@
 	attempts    tally.Counter
 	crossed     tally.Counter
 	broken      tally.Counter
+	silent      tally.Counter
 	quarantines tally.Counter
 	quarantined tally.Counter
 }
@@ -21,6 +22,7 @@
 		attempts:    scope.Counter("entry_attempts_total"),
 		crossed:     scope.Counter("entry_crossed_answers_total"),
 		broken:      scope.Counter("entry_broken_answers_total"),
+		silent:      scope.Counter("entry_silent_agents_total"),
 		quarantines: scope.Counter("entry_quarantines_total"),
 		quarantined: scope.Counter("entry_quarantined_requests_total"),
 	}
--- a/internal/entry/dispatch/network_test.go
+++ b/internal/entry/dispatch/network_test.go
@@ -116,6 +116,7 @@
 	net.Conn
 	network *network
 	address string
+	held    chan struct{} // Closed when the last held bytes are delivered.
 }
 
 // Read implements net.Conn.
@@ -125,18 +126,29 @@
 	return n, err
 }
 
-// Write implements net.Conn. It takes the bytes at once, as a socket's buffer
-// does, and delivers them after a thaw.
+// Write implements net.Conn. While the address is frozen it takes the bytes at
+// once, as a socket's buffer does, and delivers them in order after the thaw.
 func (c *conn) Write(p []byte) (int, error) {
 	c.network.mu.Lock()
-	frozen := c.network.thaw[c.address]
+	frozen, before := c.network.thaw[c.address], c.held
+	delivered := make(chan struct{})
+	if frozen != nil {
+		c.held = delivered
+	}
 	c.network.mu.Unlock()
 	if frozen == nil {
+		if before != nil {
+			<-before
+		}
 		return c.Conn.Write(p)
 	}
 	held := append([]byte(nil), p...)
 	go func() {
+		defer close(delivered)
 		<-frozen
+		if before != nil {
+			<-before
+		}
 		_, _ = c.Conn.Write(held)
 	}()
 	return len(p), nil
--- a/internal/entry/dispatch/whole_test.go
+++ b/internal/entry/dispatch/whole_test.go
@@ -111,13 +111,27 @@
 		f.addEngines(2, plainEngine)
 		wantWhole(f.t, f.complete(false, "warm"), false)
 		f.net.freeze(f.nodes[0].vm.Address)
+		began := time.Now()
 		wantWhole(f.t, f.complete(false, "x"), false)
+		if took := time.Since(began); took > 4*time.Second {
+			f.t.Errorf("took %v beside a stopped agent", took)
+		}
 		f.net.resume(f.nodes[0].vm.Address)
 		f.settle()
 		wantWhole(f.t, f.complete(true, "y"), true)
 	})
 }
 
+func TestStoppedAgentIsWaitedForWhereThereIsNoOther(t *testing.T) {
+	run(t, func(f *fleet) {
+		f.addEngines(1, plainEngine)
+		wantWhole(f.t, f.complete(false, "warm"), false)
+		f.net.freeze(f.nodes[0].vm.Address)
+		time.AfterFunc(8*time.Second, func() { f.net.resume(f.nodes[0].vm.Address) })
+		wantWhole(f.t, f.complete(false, "x"), false)
+	})
+}
+
 func TestRefusalTellsOfAllAttemptsTogether(t *testing.T) {
 	run(t, func(f *fleet) {
 		f.addEngines(2, plainEngine)
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -27,6 +27,10 @@
 // PathRun is the agent's path for attempts.
 const PathRun = "/run"
 
+// StatusAccepted is the informational status that an agent sends at once when
+// it takes an attempt, which may then wait for its turn.
+const StatusAccepted = http.StatusProcessing
+
 // Headers of an attempt.
 const (
 	HeaderRequest        = "Hyssop-Request-Id"
