--- a/internal/agent/drain/gate.go
+++ b/internal/agent/drain/gate.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -109,15 +108,10 @@
 	if reason == "" {
 		return nil
 	}
-	r := &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeUnavailable, Code: refusal.CodeDraining,
-		Message: string(reason), Ran: refusal.RanNo, RetryAfter: leavingRetryAfter,
-	}
 	if reason == ReasonLost {
-		r.Code = refusal.CodeEndpointFailed
-		r.RetryAfter = lostRetryAfter
+		return refusal.New(refusal.CodeEndpointFailed, refusal.RanNo, string(reason)).After(lostRetryAfter)
 	}
-	return r
+	return refusal.New(refusal.CodeDraining, refusal.RanNo, string(reason)).After(leavingRetryAfter)
 }
 
 // Waiting returns a context that also ends when the gate closes, for work that
--- a/internal/agent/intake/refusals.go
+++ b/internal/agent/intake/refusals.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,10 +12,7 @@
 const retryAfter = time.Second
 
 func malformed(err error) *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusBadRequest, Type: refusal.TypeInvalidRequest, Code: refusal.CodeBadRequest,
-		Message: err.Error(), Ran: refusal.RanNo,
-	}
+	return refusal.New(refusal.CodeBadRequest, refusal.RanNo, err.Error())
 }
 
 // noTurn turns an error of the wait for a turn into a refusal: nothing ran.
@@ -40,65 +36,46 @@
 	if errors.As(err, &r) {
 		return r
 	}
-	return &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeUnavailable, Code: refusal.CodeClaimsUnavailable,
-		Message: "the claim of the Idempotency-Key failed; the request did not run",
-		Ran:     refusal.RanNo, RetryAfter: retryAfter,
-	}
+	return refusal.New(refusal.CodeClaimsUnavailable, refusal.RanNo,
+		"the claim of the Idempotency-Key failed; the request did not run").After(retryAfter)
 }
 
 func cancelled() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeUnavailable, Code: refusal.CodeCancelled,
-		Message: "the request was withdrawn while it waited", Ran: refusal.RanNo, RetryAfter: retryAfter,
-	}
+	return refusal.New(refusal.CodeCancelled, refusal.RanNo,
+		"the request was withdrawn while it waited").After(retryAfter)
 }
 
 func late() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusGatewayTimeout, Type: refusal.TypeUnavailable, Code: refusal.CodeDeadline,
-		Message: "the request's time ran out before it could run", Ran: refusal.RanNo, RetryAfter: retryAfter,
-	}
+	return refusal.New(refusal.CodeDeadline, refusal.RanNo,
+		"the request's time ran out before it could run").After(retryAfter)
 }
 
 func notReached() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeUnavailable, Code: refusal.CodeEndpointFailed,
-		Message: "the endpoint accepted no connection", Ran: refusal.RanNo, RetryAfter: retryAfter,
-	}
+	return refusal.New(refusal.CodeEndpointFailed, refusal.RanNo,
+		"the endpoint accepted no connection").After(retryAfter)
 }
 
 func notResident() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeEndpoint, Code: refusal.CodeEndpointFailed,
-		Message: "the endpoint does not hold the adapter", Ran: refusal.RanNo, RetryAfter: retryAfter,
-	}
+	return refusal.New(refusal.CodeEndpointFailed, refusal.RanNo,
+		"the endpoint does not hold the adapter").After(retryAfter)
 }
 
 func unanswered() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusGatewayTimeout, Type: refusal.TypeEndpoint, Code: refusal.CodeDeadline,
-		Message: "the endpoint did not answer before the deadline", Ran: refusal.RanUnknown,
-	}
+	return refusal.New(refusal.CodeDeadline, refusal.RanUnknown,
+		"the endpoint did not answer before the deadline")
 }
 
 func endpointFailed() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusBadGateway, Type: refusal.TypeEndpoint, Code: refusal.CodeEndpointFailed,
-		Message: "the endpoint failed before it answered", Ran: refusal.RanUnknown,
-	}
+	return refusal.New(refusal.CodeEndpointFailed, refusal.RanUnknown,
+		"the endpoint failed before it answered")
 }
 
 func crossed() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusBadGateway, Type: refusal.TypeEndpoint, Code: refusal.CodeBrokenAnswer,
-		Message: "the endpoint's answer belonged to another request", Ran: refusal.RanUnknown,
-	}
+	return refusal.New(refusal.CodeBrokenAnswer, refusal.RanUnknown,
+		"the endpoint's answer belonged to another request")
 }
 
 func brokenAnswer() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusBadGateway, Type: refusal.TypeEndpoint, Code: refusal.CodeBrokenAnswer,
-		Message: "the endpoint's answer ended before it was whole", Ran: refusal.RanYes,
-	}
+	return refusal.New(refusal.CodeBrokenAnswer, refusal.RanYes,
+		"the endpoint's answer ended before it was whole")
 }
--- a/internal/entry/dispatch/refusals.go
+++ b/internal/entry/dispatch/refusals.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -20,38 +19,28 @@
 }
 
 func noEndpoint() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeUnavailable, Code: refusal.CodeNoEndpoint,
-		Message: "no endpoint can take the request now", Ran: refusal.RanNo, RetryAfter: failedRetryAfter,
-	}
+	return refusal.New(refusal.CodeNoEndpoint, refusal.RanNo,
+		"no endpoint can take the request now").After(failedRetryAfter)
 }
 
 func unsent() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeUnavailable, Code: refusal.CodeEndpointFailed,
-		Message: "the endpoint was not reached", Ran: refusal.RanNo, RetryAfter: busyRetryAfter,
-	}
+	return refusal.New(refusal.CodeEndpointFailed, refusal.RanNo,
+		"the endpoint was not reached").After(busyRetryAfter)
 }
 
 func crossed() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusBadGateway, Type: refusal.TypeEndpoint, Code: refusal.CodeBrokenAnswer,
-		Message: "the endpoint's answer did not belong to the request", Ran: refusal.RanUnknown,
-	}
+	return refusal.New(refusal.CodeBrokenAnswer, refusal.RanUnknown,
+		"the endpoint's answer did not belong to the request")
 }
 
 // unanswered refuses a request that was sent and got no answer.
 func unanswered(ctx context.Context) *refusal.Refusal {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return &refusal.Refusal{
-			Status: http.StatusGatewayTimeout, Type: refusal.TypeEndpoint, Code: refusal.CodeDeadline,
-			Message: "the endpoint did not answer before the deadline", Ran: refusal.RanUnknown,
-		}
-	}
-	return &refusal.Refusal{
-		Status: http.StatusBadGateway, Type: refusal.TypeEndpoint, Code: refusal.CodeEndpointFailed,
-		Message: "the endpoint failed before it answered", Ran: refusal.RanUnknown,
+		return refusal.New(refusal.CodeDeadline, refusal.RanUnknown,
+			"the endpoint did not answer before the deadline")
 	}
+	return refusal.New(refusal.CodeEndpointFailed, refusal.RanUnknown,
+		"the endpoint failed before it answered")
 }
 
 // broken refuses a request whose answer ended before its first byte could be
@@ -67,17 +56,11 @@
 }
 
 func quarantined(until time.Time) *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusUnprocessableEntity, Type: refusal.TypeInvalidRequest, Code: refusal.CodeQuarantined,
-		Message: "each endpoint that ran this request crashed, so it is not run for now",
-		Ran:     refusal.RanNo, RetryAfter: max(time.Until(until), time.Second),
-	}
+	return refusal.New(refusal.CodeQuarantined, refusal.RanNo,
+		"each endpoint that ran this request crashed, so it is not run for now").After(max(time.Until(until), time.Second))
 }
 
 func onTrial() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeUnavailable, Code: refusal.CodeEndpointBusy,
-		Message: "the same request runs alone, since an endpoint crashed under it",
-		Ran:     refusal.RanNo, RetryAfter: busyRetryAfter,
-	}
+	return refusal.New(refusal.CodeEndpointBusy, refusal.RanNo,
+		"the same request runs alone, since an endpoint crashed under it").After(busyRetryAfter)
 }
