--- a/internal/agent/intake/intake.go
+++ b/internal/agent/intake/intake.go
@@ -100,7 +100,9 @@
 		a.refuse(refused)
 		return
 	}
-	w.WriteHeader(wire.StatusAccepted)
+	if r.Header.Get(wire.HeaderAccept) == "true" {
+		w.WriteHeader(wire.StatusAccepted)
+	}
 	a.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, h.opts.MaxBodyBytes))
 	if err != nil {
 		a.refuse(malformed(err))
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -129,6 +129,9 @@
 	}
 	httpReq.ContentLength = int64(len(a.req.Body))
 	a.job.Encode(httpReq.Header)
+	if a.req.impatient {
+		httpReq.Header.Set(wire.HeaderAccept, "true")
+	}
 	return httpReq, nil
 }
 
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -28,7 +28,7 @@
 const PathRun = "/run"
 
 // StatusAccepted is the informational status that an agent sends at once when
-// it takes an attempt, which may then wait for its turn.
+// it takes an attempt with HeaderAccept, which may then wait for its turn.
 const StatusAccepted = http.StatusProcessing
 
 // Headers of an attempt.
@@ -51,6 +51,8 @@
 	HeaderDeadline       = "Hyssop-Deadline-Ms"
 	HeaderStream         = "Hyssop-Stream"
 	HeaderAlone          = "Hyssop-Alone"
+	// HeaderAccept is "true" where the entry waits for StatusAccepted.
+	HeaderAccept = "Hyssop-Accept"
 )
 
 // Headers of an answer.
