--- a/internal/experiment/endpoints/experiment.go
+++ b/internal/experiment/endpoints/experiment.go
@@ -20,7 +20,7 @@
 
 var heading = []string{
 	"system", "stalled %", "stall", "stalled s/100", "tokens/step", "tokens/busy s", "worst served",
-	"wrongful %", "refused %", "first token p95", "plain p95", "loads/s",
+	"wrongful %", "others %", "refused %", "first token p95", "plain p95", "loads/s",
 }
 
 // Run measures every system in every scenario at both deployments' sizes.
@@ -82,6 +82,7 @@
 		fmt.Sprintf("%.0f", m.perSecond),
 		fmt.Sprintf("%.3f", m.worst),
 		fmt.Sprintf("%.2f", 100*m.wrongful),
+		fmt.Sprintf("%.2f", 100*m.others),
 		fmt.Sprintf("%.2f", 100*m.refused),
 		m.firstToken.Round(time.Millisecond).String(),
 		m.plainAnswer.Round(time.Millisecond).String(),
--- a/internal/experiment/endpoints/report.go
+++ b/internal/experiment/endpoints/report.go
@@ -15,6 +15,7 @@
 	perSecond   float64       // Tokens in a busy second of an engine.
 	worst       float64       // Tokens served to the worst-served organisation by its entitled ones.
 	wrongful    float64       // Share of the entitled completions that were refused.
+	others      float64       // Share of the completions of the organisations that do not flood that were refused.
 	refused     float64       // Share of all completions that were refused.
 	firstToken  time.Duration // 95 in 100.
 	plainAnswer time.Duration // First token of the plain service, 95 in 100.
@@ -25,7 +26,7 @@
 	return measures{
 		stallShare: m.stallShare + o.stallShare, stallMean: m.stallMean + o.stallMean, stallTotal: m.stallTotal + o.stallTotal,
 		perStep: m.perStep + o.perStep, perSecond: m.perSecond + o.perSecond, worst: m.worst + o.worst,
-		wrongful: m.wrongful + o.wrongful, refused: m.refused + o.refused,
+		wrongful: m.wrongful + o.wrongful, others: m.others + o.others, refused: m.refused + o.refused,
 		firstToken: m.firstToken + o.firstToken, plainAnswer: m.plainAnswer + o.plainAnswer, loads: m.loads + o.loads,
 	}
 }
@@ -35,7 +36,7 @@
 	return measures{
 		stallShare: m.stallShare / f, stallMean: m.stallMean / d, stallTotal: m.stallTotal / f,
 		perStep: m.perStep / f, perSecond: m.perSecond / f, worst: m.worst / f,
-		wrongful: m.wrongful / f, refused: m.refused / f,
+		wrongful: m.wrongful / f, others: m.others / f, refused: m.refused / f,
 		firstToken: m.firstToken / d, plainAnswer: m.plainAnswer / d, loads: m.loads / f,
 	}
 }
@@ -51,7 +52,7 @@
 	var m measures
 	first := hdrhistogram.New(histogramLow, histogramHigh, histogramDigits)
 	plain := hdrhistogram.New(histogramLow, histogramHigh, histogramDigits)
-	var completions, stalled, entitled, wrongful, refused int
+	var completions, stalled, entitled, wrongful, refused, others, othersRefused int
 	var stall time.Duration
 	for _, q := range requests {
 		if q.at < s.warmUp {
@@ -66,6 +67,8 @@
 		entitled += count(q.entitled)
 		wrongful += count(q.entitled && q.refused)
 		refused += count(q.refused)
+		others += count(q.org != flooder)
+		othersRefused += count(q.org != flooder && q.refused)
 		if q.stalled {
 			stalled++
 			stall += q.stall
@@ -78,6 +81,7 @@
 	m.stallTotal = 100 * stall.Seconds() / float64(max(completions, 1))
 	m.wrongful = ratio(wrongful, entitled)
 	m.refused = ratio(refused, completions)
+	m.others = ratio(othersRefused, others)
 	m.firstToken = time.Duration(first.ValueAtPercentile(percentile)) * time.Microsecond
 	m.plainAnswer = time.Duration(plain.ValueAtPercentile(percentile)) * time.Microsecond
 	m.worst = worstServed(d, s, requests)
