Attempts wait six seconds for a slot while all are in use

Cause: with busy engines the organisations that do not flood were refused after two seconds at each of three endpoints, although a slot would have come free. The stalls grow because those who were refused now wait.

--- a/internal/agent/schedule/service.go
+++ b/internal/agent/schedule/service.go
@@ -32,12 +32,13 @@
 	demandHalfLife   = 30 * time.Second
 	rememberedBuilds = 256
 	wantedBuilds     = 16
-	// slotPatience is the time that an attempt waits while every slot is in use.
-	slotPatience = 2 * time.Second
 	// fencePoll is the time after which the fencing number is looked for again.
 	fencePoll = time.Second
 )
 
+// SlotPatience is the time that an attempt waits while every slot is in use.
+const SlotPatience = 6 * time.Second
+
 // Options configures New.
 type Options struct {
 	Engine      engine.Engine               // Not used where Slots is 0.
--- a/internal/agent/schedule/service_test.go
+++ b/internal/agent/schedule/service_test.go
@@ -428,7 +428,7 @@
 		}
 		began := time.Now()
 		_, err = f.Acquire(deadline(t, time.Minute), jobFor("b"))
-		if !refusedWith(err, refusal.CodeEndpointBusy) || time.Since(began) != slotPatience {
+		if !refusedWith(err, refusal.CodeEndpointBusy) || time.Since(began) != SlotPatience {
 			t.Fatalf("got %v after %s", err, time.Since(began))
 		}
 		turn.Release(100)
--- a/internal/agent/schedule/turns.go
+++ b/internal/agent/schedule/turns.go
@@ -231,7 +231,7 @@
 	if backoff := s.machine.Backoff(now, item.Build); backoff > 0 {
 		return loadFailed(backoff)
 	}
-	if room <= 0 && now.Sub(s.waiters[item.ID].since) >= slotPatience {
+	if room <= 0 && now.Sub(s.waiters[item.ID].since) >= SlotPatience {
 		return slotsInUse()
 	}
 	return nil
@@ -249,7 +249,7 @@
 	sooner(s.permits.retryAt)
 	for _, w := range s.waiters {
 		if w.build != (slots.Build{}) {
-			sooner(w.since.Add(slotPatience))
+			sooner(w.since.Add(SlotPatience))
 		}
 	}
 	if len(s.waiters) > 0 && !s.mayOrder() {
--- a/internal/experiment/endpoints/agent.go
+++ b/internal/experiment/endpoints/agent.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/agent/schedule"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/fairqueue"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/placement"
@@ -10,10 +11,9 @@
 )
 
 const (
-	capacity     = 16
-	slotCount    = 8
-	queueLength  = 8 * capacity
-	slotPatience = 2 * time.Second
+	capacity    = 16
+	slotCount   = 8
+	queueLength = 8 * capacity
 )
 
 // attempt is one try of a request on an endpoint.
@@ -85,7 +85,7 @@
 	}
 	a.advance()
 	if t.waiting {
-		a.run.clock.after(slotPatience, a.advance)
+		a.run.clock.after(schedule.SlotPatience, a.advance)
 	}
 }
 
@@ -191,7 +191,7 @@
 	stuck := a.queue.Take(func(item fairqueue.Item) bool {
 		waited := a.run.clock.now - a.attempts[item.ID].since
 		absent := item.Build != (slots.Build{}) && a.machine.State(item.Build) == slots.StateAbsent
-		return absent && waited >= slotPatience
+		return absent && waited >= schedule.SlotPatience
 	})
 	for _, item := range stuck {
 		a.refuse(item.ID)
