Fair queue and scheduler tests catch an unbounded lead, uncorrected tokens and a late word of a failed load

Two mutants had survived: batching without the bound on the lead, and shares by reserved instead of used tokens. The test of shares now reserves unevenly and lets only one organisation batch.

--- a/internal/agent/schedule/service_test.go
+++ b/internal/agent/schedule/service_test.go
@@ -262,6 +262,23 @@
 	})
 }
 
+func TestFailedLoadIsToldAtOnceThoughNoListCanBeHad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2, nil)
+		defer f.stop()
+		synctest.Wait()
+		f.engine.mu.Lock()
+		f.engine.failLoads = 1
+		f.engine.down = true
+		f.engine.mu.Unlock()
+		began := time.Now()
+		_, err := f.Acquire(deadline(t, 20*time.Second), jobFor("a"))
+		if !refusedWith(err, refusal.CodeAdapterLoadFailed) || time.Since(began) != testLoadTime {
+			t.Fatalf("got %v after %s", err, time.Since(began))
+		}
+	})
+}
+
 func TestRestartInMidLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 2, nil)
--- a/internal/policy/fairqueue/fairqueue_test.go
+++ b/internal/policy/fairqueue/fairqueue_test.go
@@ -88,13 +88,16 @@
 	})
 }
 
-// Organisations that always have attempts waiting are served by weight, up to
-// the lead that batching allows and one attempt each.
+// Organisations that always have attempts waiting are served by weight in the
+// tokens that they really use, up to the lead that batching allows and one
+// attempt each, also where only the first one's build runs already.
 func TestSharesFollowWeights(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := New(testConfig())
 		orgs := rapid.IntRange(2, 4).Draw(t, "organisations")
 		weights := rapid.SliceOfN(rapid.IntRange(1, 8), orgs, orgs).Draw(t, "weights")
+		// Each organisation uses one token of so many that it reserves.
+		reserves := rapid.SliceOfN(rapid.IntRange(1, 5), orgs, orgs).Draw(t, "reserves")
 		served := make([]float64, orgs)
 		id := ID(0)
 		push := func(i int) {
@@ -102,7 +105,7 @@
 			q.Push(start, Item{
 				ID: id, Organisation: org(i), Weight: weights[i],
 				Tokens: int64(rapid.IntRange(1, testMaxTokens).Draw(t, "tokens")),
-				Build:  buildOf(rapid.IntRange(0, 2).Draw(t, "build")),
+				Build:  buildOf(i),
 			})
 		}
 		for i := range orgs {
@@ -121,10 +124,10 @@
 			if !ok {
 				t.Fatal("nothing popped although all are ready")
 			}
-			used := int64(rapid.IntRange(1, int(item.Tokens)).Draw(t, "used"))
-			q.Release(start, item, used)
 			var i int
 			_, _ = fmt.Sscanf(string(item.Organisation), "org-%d", &i)
+			used := max(item.Tokens/int64(reserves[i]), 1)
+			q.Release(start, item, used)
 			served[i] += float64(used)
 			push(i)
 		}
