--- a/internal/agent/schedule/service_test.go
+++ b/internal/agent/schedule/service_test.go
@@ -294,6 +294,28 @@
 	})
 }
 
+// After a restart, the builds in demand come back although no attempt waits.
+func TestBuildInDemandIsPrefetchedAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3, nil)
+		defer f.stop()
+		for range 4 {
+			f.mustRun(t, jobFor("a"))
+		}
+		f.mustRun(t, jobFor("rare"))
+		f.engine.restart()
+		f.EngineBooted("boot-2")
+		time.Sleep(2 * testLoadTime)
+		f.engine.mu.Lock()
+		defer f.engine.mu.Unlock()
+		inDemand := f.engine.held[engine.Resident{Adapter: "a", Version: "v1"}]
+		rare := f.engine.held[engine.Resident{Adapter: "rare", Version: "v1"}]
+		if !inDemand || rare {
+			t.Errorf("holds %v", f.engine.held)
+		}
+	})
+}
+
 func TestLateAnswerOfFormerBootIsNotBelieved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 2, nil)
