--- a/internal/entry/dispatch/whole_test.go
+++ b/internal/entry/dispatch/whole_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
@@ -200,3 +201,21 @@
 		}
 	})
 }
+
+// A caller that leaves says nothing against the endpoint.
+func TestCallerThatLeavesIsObservedAsSuch(t *testing.T) {
+	run(t, func(f *fleet) {
+		f.addServices(1)
+		f.services[0].SetDelay(2 * time.Second)
+		ctx, cancel := context.WithCancel(f.t.Context())
+		go func() {
+			time.Sleep(time.Second)
+			cancel()
+		}()
+		send(ctx, f.dispatcher, depositJob("k"), `{"amount":5}`)
+		last := f.observed[len(f.observed)-1]
+		if last.Outcome != dispatch.OutcomeAbandoned {
+			f.t.Errorf("last observation %+v", last)
+		}
+	})
+}
--- a/internal/experiment/endpoints/workload.go
+++ b/internal/experiment/endpoints/workload.go
@@ -99,7 +99,6 @@
 	first    time.Duration // When the first token came; 0 before.
 	done     bool
 	refused  bool
-	settled  bool
 }
 
 func (r *request) organisation() ident.Organisation {
