--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -91,7 +91,6 @@
 		Slots:       s.Slots,
 		Capacity:    s.Capacity,
 		Grace:       s.DrainTimeout,
-		Log:         opts.Log,
 		Timeline:    a.ring,
 		Metrics:     a.metrics.Scope,
 	})
--- a/internal/agent/schedule/service.go
+++ b/internal/agent/schedule/service.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 	"github.com/uber-go/tally/v4"
 
@@ -48,7 +47,6 @@
 	Slots       int           // Adapter builds that the engine holds at once; 0 for a plain service.
 	Capacity    int           // Attempts that the endpoint runs at once.
 	Grace       time.Duration // Longest time that Serve waits for attempts at its end.
-	Log         *logrus.Entry
 	Timeline    *timeline.Ring
 	Metrics     tally.Scope // None where nil.
 }
