Placement expects six seconds where a build is not resident

Cause: with busy engines a hot adapter was given more endpoints, and so loads, for a queue of two seconds; in short supply a load takes much longer. Change: the least delay expected of a load is 6 s in place of 2 s.

--- a/internal/entry/endpoints/endpoints.go
+++ b/internal/entry/endpoints/endpoints.go
@@ -59,7 +59,7 @@
 		LoadHalfLife:    2 * time.Second,
 		ResidentFor:     2 * time.Minute,
 		TargetBusy:      0.5,
-		LoadDelay:       2 * time.Second,
+		LoadDelay:       6 * time.Second,
 		PrefixGain:      200 * time.Millisecond,
 		DefaultCapacity: 16,
 		DefaultElapsed:  5 * time.Second,
