Who is gone is told by readings of the VM list; an entry off the list gives nothing; readiness waits for the limits

Cause: the members' view always holds the process itself, so that an entry off the list went on giving, and a list that was not read again could make a new entry gone while it gave from its shares. Also: a change of the configuration made a draining entry ready again.

--- a/internal/agent/permits/permits_test.go
+++ b/internal/agent/permits/permits_test.go
@@ -15,6 +15,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/shares"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
+	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
 )
@@ -47,6 +48,9 @@
 	keeper := shares.NewKeeper(shares.KeeperOptions{
 		Self: limit.Member{VM: "entry-1", Incarnation: 1}, Members: oneEntry{}, Store: store.NewMemory(),
 		Client: client, Log: log.WithField("vm", "entry-1"), Metrics: tally.NoopScope,
+		Listing: func() shares.Listing {
+			return shares.Listing{Entries: []ident.VM{"entry-1"}, Read: time.Now()}
+		},
 	})
 	handler = keeper.Handler()
 	group.Go(func() { _ = keeper.Serve(ctx) })
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,7 +49,7 @@
 	opts      Options
 	clock     *hlc.Clock
 	ring      *timeline.Ring
-	ready     *process.Ready
+	ready     *readiness
 	metrics   *process.Metrics
 	fleet     fleetParts
 	directory *directory.Directory
@@ -69,7 +69,7 @@
 		opts:      opts,
 		clock:     clock,
 		ring:      ring,
-		ready:     process.NewReady("no configuration yet"),
+		ready:     newReadiness(),
 		metrics:   process.NewMetrics(),
 		directory: directory.New(directory.Options{List: opts.VMList, Interval: s.VMListInterval, Log: opts.Log}),
 		running:   running.NewIndex(),
@@ -103,7 +103,7 @@
 	e.front.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
 	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(client), time.Second))
 	e.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleet, Listener: e.opts.FleetListener, Grace: s.DrainTimeout})
-	admin := process.AdminHandler(e.ready, e.metrics)
+	admin := process.AdminHandler(e.ready.ready, e.metrics)
 	e.tree.Add(process.NewHTTPServer("admin", e.opts.AdminListener, admin, time.Second))
 	return nil
 }
@@ -157,7 +157,7 @@
 		_, ok := s.Key(key)
 		return ok
 	})
-	e.ready.Set()
+	e.ready.setConfigured()
 }
 
 // Serve runs the entry until ctx ends, then drains: /readyz fails, the
@@ -170,7 +170,7 @@
 }
 
 func (e *Entry) drain() {
-	e.ready.Not("draining")
+	e.ready.setDraining()
 	e.fleet.members.SetLeaving()
 	e.ring.Record(timeline.Event{Kind: timeline.KindProcessDraining})
 	e.shares.Leave(context.Background())
@@ -179,6 +179,6 @@
 
 // Ready reports whether the entry can serve callers.
 func (e *Entry) Ready() bool {
-	return e.ready.Reason() == "" && !e.directory.View().Read.IsZero() &&
+	return e.ready.ready.Reason() == "" && !e.directory.View().Read.IsZero() &&
 		e.shares.Ready() && e.fleet.freshness.Fresh()
 }
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -17,6 +17,7 @@
 	e.shares = shares.NewKeeper(shares.KeeperOptions{
 		Self: holder, Members: e.fleet.members, Store: e.opts.Store, Client: client,
 		Log: e.opts.Log, Timeline: e.ring, Metrics: e.metrics.Scope,
+		OnReady: e.ready.setCounting, Listing: shares.ListingOf(e.directory),
 	})
 	e.asker = shares.NewAsker(shares.AskerOptions{
 		Self: holder, Keeper: e.shares, Client: client, Peers: shares.FromView(e.fleet.members), Metrics: e.metrics.Scope,
--- /dev/null
+++ b/internal/entry/readiness_test.go
@@ -0,0 +1,23 @@
+package entry
+
+import "testing"
+
+func TestEntryIsReadyOnceConfiguredAndCounting(t *testing.T) {
+	r := newReadiness()
+	steps := []struct {
+		step func()
+		want string
+	}{
+		{func() {}, reasonConfig},
+		{r.setCounting, reasonConfig},
+		{r.setConfigured, ""},
+		{r.setDraining, reasonDraining},
+		{r.setConfigured, reasonDraining},
+	}
+	for i, s := range steps {
+		s.step()
+		if got := r.ready.Reason(); got != s.want {
+			t.Errorf("step %d: not ready for %q, want %q", i, got, s.want)
+		}
+	}
+}
--- a/internal/fleet/shares/fleet_test.go
+++ b/internal/fleet/shares/fleet_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -50,6 +51,20 @@
 	stop   context.CancelFunc
 	done   sync.WaitGroup
 	cut    bool // Its calls and calls to it are lost.
+	stale  bool // It does not read the VM list any more.
+	last   Listing
+}
+
+// listing returns how the node reads the VM list.
+func (n *node) listing(f *fleet) func() Listing {
+	return func() Listing {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !n.stale {
+			n.last = Listing{Entries: f.listed, Read: time.Now()}
+		}
+		return n.last
+	}
 }
 
 // grant is what was admitted.
@@ -77,7 +92,7 @@
 	log.SetOutput(io.Discard)
 	n.keeper = NewKeeper(KeeperOptions{
 		Self: n.self, Members: view, Store: f.memory, Client: client,
-		Log: log.WithField("vm", vm), Metrics: tally.NoopScope,
+		Log: log.WithField("vm", vm), Metrics: tally.NoopScope, Listing: n.listing(f),
 	})
 	n.asker = NewAsker(AskerOptions{
 		Self: n.self, Keeper: n.keeper, Client: client, Peers: FromView(view), Metrics: tally.NoopScope,
@@ -175,6 +190,9 @@
 	for _, vm := range v.fleet.listed {
 		out = append(out, members.Member{VM: vm, Address: string(vm)})
 	}
+	if !slices.Contains(v.fleet.listed, v.self) {
+		out = append(out, v.Self()) // A view always holds the process itself.
+	}
 	return out
 }
 
@@ -321,6 +339,59 @@
 	})
 }
 
+func TestStaleListMakesNobodyGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		f.mu.Lock()
+		f.nodes["entry-1"].last = Listing{Entries: f.listed, Read: time.Now()}
+		f.nodes["entry-1"].stale = true
+		f.mu.Unlock()
+		n := f.start("entry-4")
+		f.flood(15*time.Second, 7)
+		if !n.keeper.Generation().Has(n.self) {
+			t.Fatal("the new entry was taken for gone by a list read before it came")
+		}
+	})
+}
+
+func TestRunningEntryOffTheListGivesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		n := f.nodes["entry-1"]
+		f.unlist("entry-1")
+		time.Sleep(2 * tickInterval)
+		if status := n.keeper.Status(); !status.Unsure {
+			t.Fatal("an entry off the list gives from its shares")
+		}
+		f.flood(15*time.Second, 7)
+		if f.nodes["entry-2"].keeper.Generation().Has(n.self) {
+			t.Fatal("an entry off the list is still a member")
+		}
+	})
+}
+
+func TestEntryJoinsOnlyOnceListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		n := f.start("entry-4")
+		f.unlist("entry-4")
+		time.Sleep(10 * time.Second)
+		if n.keeper.Generation().Has(n.self) {
+			t.Fatal("an entry that is not on the list became a member")
+		}
+		f.mu.Lock()
+		f.list("entry-4", true)
+		f.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if !n.keeper.Generation().Has(n.self) {
+			t.Fatal("a listed entry did not become a member")
+		}
+	})
+}
+
 func TestLeavingEntryHandsItsBalanceOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 4)
--- a/internal/fleet/shares/generations.go
+++ b/internal/fleet/shares/generations.go
@@ -171,7 +171,6 @@
 
 // wanted returns the changes that are still open, and forgets the others.
 func (k *Keeper) wanted(gen limit.Generation) limit.Change {
-	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var open limit.Change
@@ -186,17 +185,17 @@
 		}
 	}
 	k.change = open
-	open.Gone = k.lost(gen, now)
+	open.Gone = k.lost(gen)
 	return open
 }
 
 // lost returns the members that are gone, where it falls to this process to
 // remove them: the first that is left, and each further one a while later.
-func (k *Keeper) lost(gen limit.Generation, now time.Time) []limit.Member {
+func (k *Keeper) lost(gen limit.Generation) []limit.Member {
 	var out []limit.Member
 	rank := time.Duration(0)
 	for _, m := range gen.Members {
-		if k.gone(m, now) {
+		if k.gone(m) {
 			out = append(out, m)
 		}
 	}
@@ -209,7 +208,7 @@
 		}
 	}
 	for _, m := range out {
-		if now.Sub(k.missing[m.VM]) < goneAfter+rank*rankDelay {
+		if k.missingFor(m) < goneAfter+rank*rankDelay {
 			return nil
 		}
 	}
--- a/internal/fleet/shares/keeper.go
+++ b/internal/fleet/shares/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
@@ -42,6 +44,31 @@
 	Log      *logrus.Entry
 	Timeline *timeline.Ring
 	Metrics  tally.Scope
+	OnReady  func() // Called once, when tokens can be asked for; not called where nil.
+	// Listing returns the VM list as this process has read it last.
+	Listing func() Listing
+}
+
+// Listing is one reading of the VM list.
+type Listing struct {
+	Entries []ident.VM
+	Read    time.Time // Zero before the first reading.
+}
+
+// ListingOf returns the last reading of a directory.
+func ListingOf(d *directory.Directory) func() Listing {
+	return func() Listing {
+		view := d.View()
+		listing := Listing{Read: view.Read}
+		for _, vm := range view.Entries() {
+			listing.Entries = append(listing.Entries, vm.ID)
+		}
+		return listing
+	}
+}
+
+func (l Listing) has(vm ident.VM) bool {
+	return slices.Contains(l.Entries, vm)
 }
 
 // Keeper holds this process's shares and takes part in moving them. It is
@@ -52,12 +79,14 @@
 	records *records
 	gauge   tally.Gauge
 	kick    chan struct{} // There is something to do.
-	asked   time.Time     // When a peer was asked last; used by work alone.
+	told    sync.Once
+	asked   time.Time // When a peer was asked last; used by work alone.
 
 	mu       sync.Mutex
 	known    time.Time // When the first generation was learned.
 	holder   *limit.Holder
-	missing  map[ident.VM]time.Time // Off the VM list since then.
+	missing  map[ident.VM]time.Time // Off the VM list since that reading.
+	reading  time.Time              // Of the VM list, when missing was last noted.
 	change   limit.Change           // Asked for and not yet in a generation.
 	leaving  bool
 	degraded degradation
@@ -104,17 +133,25 @@
 // work does what takes calls: generations, hand-overs, repair.
 func (k *Keeper) work(ctx context.Context) error {
 	for ctx.Err() == nil {
-		k.noteGone(time.Now())
+		k.noteGone()
 		k.confirm(ctx)
 		k.handOver(ctx)
 		k.askPeer(ctx)
 		k.takePart(ctx)
 		k.noteDegraded(time.Now())
+		k.tellReady()
 		k.rest(ctx)
 	}
 	return ctx.Err()
 }
 
+// tellReady calls OnReady the first time that the keeper is ready.
+func (k *Keeper) tellReady() {
+	if k.opts.OnReady != nil && k.Ready() {
+		k.told.Do(k.opts.OnReady)
+	}
+}
+
 // rest waits until the next round is due or there is something to do.
 func (k *Keeper) rest(ctx context.Context) {
 	interval := tickInterval
@@ -195,52 +232,66 @@
 	return k.holder.Settle(time.Now(), s.share, s.id, s.used)
 }
 
-// listed reports whether this process is on the VM list.
+// listed reports whether this process is on the VM list. The view of the
+// members cannot tell: it always holds the process itself.
 func (k *Keeper) listed() bool {
-	for _, m := range k.opts.Members.Entries() {
-		if m.VM == k.opts.Self.VM {
-			return m.State != members.StateGone
-		}
-	}
-	return false
+	return k.opts.Listing().has(k.opts.Self.VM)
 }
 
 // noteGone finds members that are certainly gone and lets shares that are
-// awaited from them restart.
-func (k *Keeper) noteGone(now time.Time) {
-	present := make(map[ident.VM]bool)
-	for _, m := range k.opts.Members.Entries() {
-		present[m.VM] = m.State != members.StateGone
+// awaited from them restart. A list that is not read again proves nothing, so
+// that time is counted between readings.
+func (k *Keeper) noteGone() {
+	listing := k.opts.Listing()
+	if listing.Read.IsZero() {
+		return
 	}
+	alive := k.alive()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if len(present) == 0 {
-		return
-	}
 	gen := k.holder.Generation()
-	known := append(append([]limit.Member(nil), gen.Members...), gen.Previous...)
 	missing := make(map[ident.VM]time.Time)
+	known := slices.Concat(gen.Members, gen.Previous)
 	for _, m := range known {
-		if present[m.VM] {
+		if listing.has(m.VM) || alive[m.VM] || m.VM == k.opts.Self.VM {
 			continue
 		}
-		missing[m.VM] = now
+		missing[m.VM] = listing.Read
 		if since, ok := k.missing[m.VM]; ok {
 			missing[m.VM] = since
 		}
 	}
-	k.missing = missing
+	k.missing, k.reading = missing, listing.Read
 	for _, m := range known {
-		if k.gone(m, now) {
-			k.holder.Gone(now, m)
+		if k.gone(m) {
+			k.holder.Gone(time.Now(), m)
 		}
 	}
 }
 
+// alive returns the VMs that the view of the members does not take for gone,
+// though they may be off the list.
+func (k *Keeper) alive() map[ident.VM]bool {
+	out := make(map[ident.VM]bool)
+	for _, m := range k.opts.Members.Entries() {
+		out[m.VM] = m.State != members.StateGone
+	}
+	return out
+}
+
 // gone reports whether a member has certainly ended. k.mu is held.
-func (k *Keeper) gone(m limit.Member, now time.Time) bool {
+func (k *Keeper) gone(m limit.Member) bool {
+	return k.missingFor(m) >= goneAfter
+}
+
+// missingFor returns for how long a member has been off the VM list. k.mu is
+// held.
+func (k *Keeper) missingFor(m limit.Member) time.Duration {
 	since, ok := k.missing[m.VM]
-	return ok && now.Sub(since) >= goneAfter
+	if !ok {
+		return 0
+	}
+	return k.reading.Sub(since)
 }
 
 // handOver sends what this process has to hand over, until it is taken.
