A keeper that cannot join waits for its next round instead of asking again at once

Cause: its own wish woke its loop; found by a fleet test in which all other members refused connections (CPU at 100%, no end). Test: fails before, passes after.

--- a/internal/fleet/shares/fleet_test.go
+++ b/internal/fleet/shares/fleet_test.go
@@ -50,7 +50,8 @@
 	asker  *Asker
 	stop   context.CancelFunc
 	done   sync.WaitGroup
-	cut    bool // Its calls and calls to it are lost.
+	ended  bool // Calls to it are refused.
+	silent bool // Calls to it are not answered.
 	stale  bool // It does not read the VM list any more.
 	last   Listing
 }
@@ -87,7 +88,7 @@
 	f.life++
 	n := &node{self: limit.Member{VM: vm, Incarnation: f.life}}
 	view := &testView{fleet: f, self: vm}
-	client := f.client(vm)
+	client := f.client()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	n.keeper = NewKeeper(KeeperOptions{
@@ -132,7 +133,7 @@
 func (f *fleet) kill(vm ident.VM) {
 	f.mu.Lock()
 	n := f.nodes[vm]
-	n.cut = true
+	n.ended = true
 	f.mu.Unlock()
 	n.stop()
 	n.done.Wait()
@@ -148,15 +149,16 @@
 }
 
 // client returns a client whose calls reach the other nodes' handlers.
-func (f *fleet) client(from ident.VM) *transport.Client {
+func (f *fleet) client() *transport.Client {
 	return &transport.Client{Scheme: "http", HTTP: &http.Client{Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
 		f.mu.Lock()
 		to, ok := f.nodes[ident.VM(r.URL.Host)]
-		source, known := f.nodes[from]
-		cut := !ok || to.cut || (known && source.cut)
 		f.mu.Unlock()
-		if cut {
-			<-r.Context().Done() // Lost: the caller hears nothing.
+		if !ok || to.ended {
+			return nil, errors.New("connection refused")
+		}
+		if to.silent {
+			<-r.Context().Done()
 			return nil, r.Context().Err()
 		}
 		time.Sleep(time.Millisecond)
@@ -392,6 +394,49 @@
 	})
 }
 
+func TestEntryThatCannotJoinDoesNotSpin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		defer f.close()
+		f.kill("entry-1")
+		f.memory.SetFault(store.FaultDown)
+		n := f.start("entry-3")
+		time.Sleep(time.Second)
+		f.kill("entry-2") // Nobody is left to let the new entry join.
+		before := f.memory.Calls()
+		time.Sleep(10 * time.Second)
+		after := f.memory.Calls()
+		if calls := after.Reads + after.Writes - before.Reads - before.Writes; calls > 2*int(10*time.Second/tickInterval) {
+			t.Fatalf("%d store calls in ten seconds", calls)
+		}
+		if n.keeper.Generation().Has(n.self) {
+			t.Fatal("joined while the store was down")
+		}
+	})
+}
+
+func TestSilentHolderHoldsUpNoRequestForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		defer f.close()
+		f.nodes["entry-1"].silent = true
+		for range 200 {
+			asked := time.Now()
+			if r, err := f.take(f.nodes["entry-2"], 50); err == nil {
+				r.Settle(50)
+			}
+			if took := time.Since(asked); took > attempts*limit.Shares*askTimeout {
+				t.Fatalf("answered after %s", took)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		f.checkWindows()
+		f.nodes["entry-1"].silent = false
+		time.Sleep(5 * time.Second)
+		f.flood(10*time.Second, 7)
+	})
+}
+
 func TestLeavingEntryHandsItsBalanceOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 4)
@@ -462,7 +507,7 @@
 		defer f.close()
 		view := &testView{fleet: f, self: "engine-1"}
 		a := NewAsker(AskerOptions{
-			Self: limit.Member{VM: "engine-1", Incarnation: 99}, Client: f.client("engine-1"),
+			Self: limit.Member{VM: "engine-1", Incarnation: 99}, Client: f.client(),
 			Peers: FromView(view), Metrics: tally.NoopScope,
 		})
 		if _, err := a.Reserve(t.Context(), account, testTerms, testBurst); err != nil {
--- a/internal/fleet/shares/generations.go
+++ b/internal/fleet/shares/generations.go
@@ -141,7 +141,6 @@
 	defer k.mu.Unlock()
 	k.change.Join = append(k.change.Join, c.Join...)
 	k.change.Leave = append(k.change.Leave, c.Leave...)
-	k.wake()
 }
 
 // propose makes the next generation where a change is wanted.
--- a/internal/fleet/shares/server.go
+++ b/internal/fleet/shares/server.go
@@ -76,6 +76,7 @@
 		change.Leave = append(change.Leave, memberFromRPC(req.GetLeave()))
 	}
 	s.keeper.want(change)
+	s.keeper.wake()
 	return &rpc.ChangeResponse{}, nil
 }
 
