--- a/internal/policy/limit/rules_test.go
+++ b/internal/policy/limit/rules_test.go
@@ -123,12 +123,44 @@
 func TestRefundGivesNoMoreThanItsClaim(t *testing.T) {
 	s := newShare(testTerms, testTerms.burst(), start)
 	s.reserve(start, "half", testBurst/2, 1, false)
-	later := start.Add(1200 * time.Millisecond) // The free room of 20 parts and 10 of the claim are refilled.
+	later := start.Add(400 * time.Millisecond) // Half of the claim is refilled by then.
 	s.advance(later)
-	s.settle(later, "half", 0)
-	s.settle(later, "half", 0)
-	if s.balance != testTerms.burst() || s.claims != 0 {
-		t.Fatalf("balance %d, claims %d", s.balance, s.claims)
+	if got := s.reserve(later, "rest", testBurst, 1, false); got != 30 {
+		t.Fatalf("%d parts after 10 were refilled", got)
+	}
+	for range 2 {
+		s.settle(later, "half", 0)
+	}
+	if s.available() != 10 {
+		t.Fatalf("%d parts came back of a claim of 10", s.available())
+	}
+}
+
+func TestNextGenerationWaitsForAllThatMayBeAlive(t *testing.T) {
+	gen := Generation{Number: 5, Members: []Member{first, second}}
+	join := Change{Join: []Member{third}}
+	report := func(m Member, number uint64, settled bool) Report { return Report{m, number, settled} }
+	cases := []struct {
+		name    string
+		change  Change
+		reports []Report
+		want    bool
+	}{
+		{"all settled", join, []Report{report(first, 5, true), report(second, 5, true)}, true},
+		{"one silent", join, []Report{report(first, 5, true)}, false},
+		{"one behind", join, []Report{report(first, 5, true), report(second, 4, true)}, false},
+		{"one handing over", join, []Report{report(first, 5, true), report(second, 5, false)}, false},
+		{"the silent one gone", Change{Gone: []Member{second}}, []Report{report(first, 5, true)}, true},
+		{"nothing changes", Change{}, []Report{report(first, 5, true), report(second, 5, true)}, false},
+		{
+			"the silent one replaced", Change{Join: []Member{{VM: second.VM, Incarnation: 9}}},
+			[]Report{report(first, 5, true)}, true,
+		},
+	}
+	for _, c := range cases {
+		if _, ok := gen.Next(c.change, c.reports); ok != c.want {
+			t.Errorf("%s: made %v, want %v", c.name, ok, c.want)
+		}
 	}
 }
 
