A lost entry's shares restart once the VM list has dropped it, not another list's lag later

Cause: the members' view says gone only 30 s after the list has dropped a VM; in a trial with separate processes a lost entry's shares stayed away for that long. Change: a VM that was seen on the list, answers nobody, and whose region is still listed counts as gone after 4.7 s of readings; one never seen waits 30 s more. An entry must read the list at least every 3 s.

--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
 	"github.com/hyssoptiller/hyssoptiller/internal/settings"
 )
 
@@ -59,6 +60,9 @@
 	c.Positive("drain-timeout", s.DrainTimeout)
 	c.Positive("store-timeout", s.StoreTimeout)
 	c.Positive("vm-list-interval", s.VMListInterval)
+	if s.VMListInterval > limit.PauseLimit {
+		c.Problemf("vm-list-interval", "%s is above %s, within which an entry must see that it is off the list", s.VMListInterval, limit.PauseLimit)
+	}
 	c.Positive("vm-list-lag", s.VMListLag)
 	c.AtLeast("timeline-events", int64(s.TimelineEvents), 1)
 	return c.Err()
--- a/internal/fleet/shares/keeper.go
+++ b/internal/fleet/shares/keeper.go
@@ -33,6 +33,9 @@
 	// goneAfter is how long a VM must be off the VM list until its process is
 	// certainly gone. By then a process that was paused knows that it was.
 	goneAfter = limit.PauseLimit + limit.GrantLifetime + 1500*time.Millisecond
+	// unseenFor is how much longer that is for a VM that this process has never
+	// seen on the list, which may show it late.
+	unseenFor = 30 * time.Second
 )
 
 // KeeperOptions configures NewKeeper.
@@ -87,6 +90,7 @@
 	holder   *limit.Holder
 	missing  map[ident.VM]time.Time // Off the VM list since that reading.
 	reading  time.Time              // Of the VM list, when missing was last noted.
+	seen     map[ident.VM]bool      // Members that were on the VM list.
 	change   limit.Change           // Asked for and not yet in a generation.
 	leaving  bool
 	degraded degradation
@@ -246,13 +250,14 @@
 	if listing.Read.IsZero() {
 		return
 	}
-	alive := k.alive()
+	alive := k.alive(listing)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	gen := k.holder.Generation()
-	missing := make(map[ident.VM]time.Time)
+	missing, seen := make(map[ident.VM]time.Time), make(map[ident.VM]bool)
 	known := slices.Concat(gen.Members, gen.Previous)
 	for _, m := range known {
+		seen[m.VM] = k.seen[m.VM] || listing.has(m.VM)
 		if listing.has(m.VM) || alive[m.VM] || m.VM == k.opts.Self.VM {
 			continue
 		}
@@ -261,7 +266,7 @@
 			missing[m.VM] = since
 		}
 	}
-	k.missing, k.reading = missing, listing.Read
+	k.missing, k.seen, k.reading = missing, seen, listing.Read
 	for _, m := range known {
 		if k.gone(m) {
 			k.holder.Gone(time.Now(), m)
@@ -269,12 +274,20 @@
 	}
 }
 
-// alive returns the VMs that the view of the members does not take for gone,
-// though they may be off the list.
-func (k *Keeper) alive() map[ident.VM]bool {
+// alive returns the VMs that may run though they are off the list: those that
+// answer, and those of a region that has left the list as a whole.
+func (k *Keeper) alive(listing Listing) map[ident.VM]bool {
+	entries := k.opts.Members.Entries()
+	regions := make(map[ident.Region]bool)
+	for _, m := range entries {
+		if listing.has(m.VM) {
+			regions[m.Region] = true
+		}
+	}
 	out := make(map[ident.VM]bool)
-	for _, m := range k.opts.Members.Entries() {
-		out[m.VM] = m.State != members.StateGone
+	for _, m := range entries {
+		answers := m.State == members.StateLive || m.State == members.StateLeaving
+		out[m.VM] = answers || !regions[m.Region]
 	}
 	return out
 }
@@ -284,14 +297,18 @@
 	return k.missingFor(m) >= goneAfter
 }
 
-// missingFor returns for how long a member has been off the VM list. k.mu is
-// held.
+// missingFor returns for how long a member has been off the VM list, less the
+// time that the list may take to show it at all. k.mu is held.
 func (k *Keeper) missingFor(m limit.Member) time.Duration {
 	since, ok := k.missing[m.VM]
 	if !ok {
 		return 0
 	}
-	return k.reading.Sub(since)
+	missing := k.reading.Sub(since)
+	if !k.seen[m.VM] {
+		missing -= unseenFor
+	}
+	return missing
 }
 
 // handOver sends what this process has to hand over, until it is taken.
