--- a/internal/policy/limit/rules_test.go
+++ b/internal/policy/limit/rules_test.go
@@ -153,8 +153,10 @@
 		{"the silent one gone", Change{Gone: []Member{second}}, []Report{report(first, 5, true)}, true},
 		{"nothing changes", Change{}, []Report{report(first, 5, true), report(second, 5, true)}, false},
 		{
-			"the silent one replaced", Change{Join: []Member{{VM: second.VM, Incarnation: 9}}},
-			[]Report{report(first, 5, true)}, true,
+			"the silent one replaced",
+			Change{Join: []Member{{VM: second.VM, Incarnation: 9}}},
+			[]Report{report(first, 5, true)},
+			true,
 		},
 	}
 	for _, c := range cases {
