--- a/internal/fleet/shares/fleet_test.go
+++ b/internal/fleet/shares/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,9 +51,9 @@
 	asker  *Asker
 	stop   context.CancelFunc
 	done   sync.WaitGroup
-	ended  bool // Calls to it are refused.
-	silent bool // Calls to it are not answered.
-	stale  bool // It does not read the VM list any more.
+	ended  atomic.Bool // Calls to it are refused.
+	silent atomic.Bool // Calls to it are not answered.
+	stale  bool        // It does not read the VM list any more.
 	last   Listing
 }
 
@@ -129,11 +130,19 @@
 	f.list(vm, false)
 }
 
+// remove takes a VM off the list for good.
+func (f *fleet) remove(vm ident.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list(vm, false)
+	delete(f.nodes, vm)
+}
+
 // kill ends a life at once.
 func (f *fleet) kill(vm ident.VM) {
 	f.mu.Lock()
 	n := f.nodes[vm]
-	n.ended = true
+	n.ended.Store(true)
 	f.mu.Unlock()
 	n.stop()
 	n.done.Wait()
@@ -154,10 +163,10 @@
 		f.mu.Lock()
 		to, ok := f.nodes[ident.VM(r.URL.Host)]
 		f.mu.Unlock()
-		if !ok || to.ended {
+		if !ok || to.ended.Load() {
 			return nil, errors.New("connection refused")
 		}
-		if to.silent {
+		if to.silent.Load() {
 			<-r.Context().Done()
 			return nil, r.Context().Err()
 		}
@@ -317,8 +326,7 @@
 		defer f.close()
 		f.flood(5*time.Second, 7)
 		f.kill("entry-1")
-		f.unlist("entry-1")
-		delete(f.nodes, "entry-1")
+		f.remove("entry-1")
 		f.flood(10*time.Second, 7)
 		f.atLeast(f.flood(10*time.Second, 7), 10*testRate, 7)
 		f.start("entry-5")
@@ -419,7 +427,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 4)
 		defer f.close()
-		f.nodes["entry-1"].silent = true
+		f.nodes["entry-1"].silent.Store(true)
 		for range 200 {
 			asked := time.Now()
 			if r, err := f.take(f.nodes["entry-2"], 50); err == nil {
@@ -431,7 +439,7 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		f.checkWindows()
-		f.nodes["entry-1"].silent = false
+		f.nodes["entry-1"].silent.Store(false)
 		time.Sleep(5 * time.Second)
 		f.flood(10*time.Second, 7)
 	})
@@ -447,8 +455,7 @@
 			t.Fatalf("leaving took %s", time.Since(left))
 		}
 		f.kill("entry-2")
-		f.unlist("entry-2")
-		delete(f.nodes, "entry-2")
+		f.remove("entry-2")
 		if _, err := f.take(f.nodes["entry-1"], testBurst); err != nil {
 			t.Fatalf("the whole burst after an entry left: %v", err)
 		}
