--- a/internal/fleet/timeline/timeline_test.go
+++ b/internal/fleet/timeline/timeline_test.go
@@ -213,3 +213,12 @@
 		})
 	}
 }
+
+// BenchmarkRingMemory makes the ring of one process: its bytes are the time
+// line's memory without the texts that events share.
+func BenchmarkRingMemory(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = NewRing("entry-1", hlc.New(nil), 8192)
+	}
+}
--- a/internal/proof/harness/endpoint.go
+++ b/internal/proof/harness/endpoint.go
@@ -41,6 +41,9 @@
 	PointMidAnswer              // After about half of the answer.
 )
 
+// holdWait bounds the wait for a run to come to its hold.
+const holdWait = 30 * time.Second
+
 // Hold stops the runs that carry a marker at a point.
 type Hold struct {
 	marker  string
@@ -51,10 +54,18 @@
 	free    sync.Once
 }
 
-// Wait returns when a run is held and all that went before it has settled.
-func (h *Hold) Wait() {
-	<-h.Reached
-	synctest.Wait()
+// Wait returns when a run is held and all that went before it has settled, and
+// reports whether one was held within the wait.
+func (h *Hold) Wait() bool {
+	timer := time.NewTimer(holdWait)
+	defer timer.Stop()
+	select {
+	case <-h.Reached:
+		synctest.Wait()
+		return true
+	case <-timer.C:
+		return false
+	}
 }
 
 // Release lets the held runs go on.
--- a/internal/proof/sessions/consorcio_test.go
+++ b/internal/proof/sessions/consorcio_test.go
@@ -77,7 +77,7 @@
 	d.part("the entry is lost while a permit is booked; the crew sends it again at the other")
 	hold := d.f.Hold("permit-2", harness.PointArrived)
 	first := d.begin(post("crew", "cuenca", "works", "/permits", "permit-2", "books an excavation permit", "permit-key-2"))
-	hold.Wait()
+	d.held(hold)
 	d.f.Kill("entry-1")
 	first()
 	again := d.begin(post("crew", "cuenca", "works", "/permits", "permit-2", "sends it again", "permit-key-2").at("entry-2"))
@@ -127,7 +127,7 @@
 	d.part("evening: an agent is stopped while it serves a valve map, and an endpoint leaves")
 	hold := d.f.Hold("map-3", harness.PointArrived)
 	late := d.begin(get("crew", "acueducto", "works", "/valve-maps/jr-junin", "map-3", "pulls up a valve map over a gushing main"))
-	hold.Wait()
+	d.held(hold)
 	for _, vm := range d.f.Names("works-") {
 		d.f.Leave(vm)
 		break
--- a/internal/proof/sessions/day_test.go
+++ b/internal/proof/sessions/day_test.go
@@ -58,6 +58,14 @@
 	fmt.Fprintf(&d.text, "== %s\n", title)
 }
 
+// held waits until a run is held.
+func (d *day) held(h *harness.Hold) {
+	d.t.Helper()
+	if !h.Wait() {
+		d.t.Error("no run came to the hold")
+	}
+}
+
 // operator notes what an operator did and got.
 func (d *day) operator(what string, a harness.Answer) {
 	d.add("operator      %-58s -> %s", what, operatorAnswer(a))
--- a/internal/proof/sessions/kowalnia_test.go
+++ b/internal/proof/sessions/kowalnia_test.go
@@ -92,7 +92,7 @@
 	d.part("a deposit's connection breaks after the service ran it")
 	hold := d.f.Hold("deposit-2", harness.PointMidAnswer)
 	first := d.begin(post("student", "student", "booking", "/deposits", "deposit-2", "pays a deposit", "deposit-key-2"))
-	hold.Wait()
+	d.held(hold)
 	for _, vm := range d.f.Names("booking-") {
 		d.f.Endpoints[vm].Host.ResetAll()
 	}
@@ -120,7 +120,7 @@
 	d.part("night: a new version of the syllabus, while an answer streams")
 	hold := d.f.Hold("night-1", harness.PointMidAnswer)
 	old := d.begin(completion("student", "student", "syllabus", "night-1", "reads a long answer (stream)", 20, true))
-	hold.Wait()
+	d.held(hold)
 	text := strings.Replace(kowalniaAllowances, "{name: syllabus, version: v1", "{name: syllabus, version: v2", 1)
 	d.f.Apply(d.t.Context(), "entry-2", config.ListAllowances, text)
 	d.add("operator      sets the syllabus to v2")
@@ -137,7 +137,7 @@
 	d.part("a key is withdrawn in mid-stream")
 	hold = d.f.Hold("stream-1", harness.PointMidAnswer)
 	open := d.begin(completion("student", "student", "safety", "stream-1", "reads a long answer (stream)", 20, true).at("entry-2"))
-	hold.Wait()
+	d.held(hold)
 	a := d.f.Withdraw(d.t.Context(), "entry-1", "wisla", d.keys["student"])
 	d.operator("withdraws the student's key", a)
 	open()
