--- a/cmd/hyssop-load/main.go
+++ b/cmd/hyssop-load/main.go
@@ -9,9 +9,11 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/drive"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/endpoints"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/limits"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/quarantine"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -19,9 +21,12 @@
 
 // experiments are the sub-commands.
 var experiments = []experiment.Experiment{
+	config.Freshness,
 	drive.New(),
 	endpoints.Experiment,
 	limits.New(),
+	quarantine.Crashes,
+	quarantine.Storm,
 }
 
 func main() {
