--- a/internal/proof/harness/conn.go
+++ b/internal/proof/harness/conn.go
@@ -109,12 +109,13 @@
 	c.resetLocked()
 }
 
+// resetLocked keeps the connection known until its owner closes it, so that a
+// paused owner learns of the reset when it is resumed.
 func (c *conn) resetLocked() {
 	for _, p := range []*pipe{c.in, c.out} {
 		p.data = nil
 		p.close(syscall.ECONNRESET)
 	}
-	delete(c.net.conns, c)
 }
 
 func (c *conn) between(a, b string) bool {
--- a/internal/proof/matrix/promises_test.go
+++ b/internal/proof/matrix/promises_test.go
@@ -217,6 +217,9 @@
 		return ""
 	}
 	limit := w.withdrawn.Add(inForceWithin)
+	if w.resumed.After(w.withdrawn) {
+		limit = w.resumed.Add(inForceWithin) // A stopped entry can't act before it is resumed.
+	}
 	for _, s := range w.sentCalls() {
 		if s.org != subjectOrg || s.kind.open {
 			continue
