--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -69,16 +69,19 @@
 }
 
 func holdersTable(holders []operators.Holder) Table {
-	t := Table{Heading: []string{"ORGANISATION", "SHARE", "HOLDER", "BALANCE", "BURST"}}
+	t := Table{Heading: []string{"ACCOUNT", "SHARE", "HOLDER", "BALANCE", "OUTSTANDING", "BURST"}}
 	for _, h := range holders {
 		t.Rows = append(t.Rows, []string{
-			string(h.Organisation), h.Share, string(h.VM),
-			strconv.FormatInt(h.Balance, 10), strconv.FormatInt(h.Burst, 10),
+			h.Account, strconv.Itoa(h.Share), string(h.VM), formatTokens(h.Balance), formatTokens(h.Outstanding), formatTokens(h.Burst),
 		})
 	}
 	return t
 }
 
+func formatTokens(n int64) string {
+	return strconv.FormatInt(n, 10)
+}
+
 // degradedTable shows what the entry that answers says of itself, and what the
 // others said.
 func degradedTable(s operators.Status, now time.Time) Table {
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -110,7 +110,7 @@
 		},
 		Members:  e.memberStates,
 		Holders:  e.holders,
-		Degraded: []func() []config.Degradation{e.fleet.replica.Degraded, e.degraded},
+		Degraded: []func() []config.Degradation{e.fleet.replica.Degraded, e.degraded, e.limitsDegraded},
 	}
 }
 
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -1,12 +1,12 @@
 package entry
 
 import (
-	"strconv"
+	"context"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/operators"
+	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/shares"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
-	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
 )
 
@@ -26,15 +26,24 @@
 	e.tree.Add(e.asker)
 }
 
-// holders returns the shares that this entry holds.
-func (e *Entry) holders() []operators.Holder {
-	status := e.shares.Status()
-	out := make([]operators.Holder, 0, len(status.Shares))
-	for _, s := range status.Shares {
+// holders returns the shares of all entries that answer.
+func (e *Entry) holders(ctx context.Context) []operators.Holder {
+	held := e.shares.Holdings(ctx)
+	out := make([]operators.Holder, 0, len(held))
+	for _, h := range held {
 		out = append(out, operators.Holder{
-			Organisation: ident.Organisation(s.Account), Share: strconv.Itoa(s.Index), VM: e.opts.Settings.VM,
-			Balance: int64(s.Balance), Burst: int64(s.Burst),
+			Account: string(h.Account), Share: h.Index, VM: h.VM,
+			Balance: int64(h.Balance), Outstanding: int64(h.Outstanding), Burst: int64(h.Burst),
 		})
 	}
 	return out
 }
+
+// limitsDegraded tells since when limits are counted with less than all shares.
+func (e *Entry) limitsDegraded() []config.Degradation {
+	status := e.shares.Status()
+	if status.Degraded.IsZero() {
+		return nil
+	}
+	return []config.Degradation{{What: "limits: " + status.Reason(), Since: status.Degraded}}
+}
--- a/internal/entry/operators/status.go
+++ b/internal/entry/operators/status.go
@@ -1,6 +1,7 @@
 package operators
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -27,14 +28,15 @@
 	Incarnation uint64   `json:"incarnation,omitempty"`
 }
 
-// Holder is one share of an organisation's rate and burst, as its holder
-// counts it.
+// Holder is one share of an account's rate and burst, as its holder counts
+// it. An account is an organisation's tokens or the fleet's adapter loads.
 type Holder struct {
-	Organisation ident.Organisation `json:"organisation"`
-	Share        string             `json:"share"`
-	VM           ident.VM           `json:"vm"`
-	Balance      int64              `json:"balance"` // Tokens.
-	Burst        int64              `json:"burst"`   // Tokens.
+	Account     string   `json:"account"`
+	Share       int      `json:"share"`
+	VM          ident.VM `json:"vm"`
+	Balance     int64    `json:"balance"`     // Tokens that can be had now.
+	Outstanding int64    `json:"outstanding"` // Tokens that may still come back.
+	Burst       int64    `json:"burst"`       // Tokens.
 }
 
 // Providers are what other parts of the entry tell about themselves. A nil
@@ -42,7 +44,7 @@
 type Providers struct {
 	Freshness func() (fresh bool, reason string)
 	Members   func() []MemberState
-	Holders   func() []Holder
+	Holders   func(ctx context.Context) []Holder
 	Degraded  []func() []config.Degradation
 }
 
@@ -60,7 +62,7 @@
 		s.Members = p.Members()
 	}
 	if p.Holders != nil {
-		s.Holders = p.Holders()
+		s.Holders = p.Holders(r.Context())
 	}
 	for _, degraded := range p.Degraded {
 		s.Degraded = append(s.Degraded, degraded()...)
--- a/internal/fleet/shares/status.go
+++ b/internal/fleet/shares/status.go
@@ -18,6 +18,22 @@
 	Shares     []ShareStatus `json:"shares"`            // Held here, ordered by account.
 }
 
+// Reason says in words what is not as it should be, or "".
+func (s Status) Reason() string {
+	switch {
+	case s.StoreLost:
+		return "store lost, holders cannot change"
+	case s.Unsure:
+		return "this entry gives nothing until the store confirms that it still holds its shares"
+	case len(s.Awaited) > 0:
+		return "a hand-over of shares has not arrived"
+	case !s.Degraded.IsZero():
+		return "a holder is off the VM list"
+	default:
+		return ""
+	}
+}
+
 // ShareStatus is one share that a keeper holds.
 type ShareStatus struct {
 	Account     limit.Account `json:"account"`
