--- a/internal/proof/sessions/day_test.go
+++ b/internal/proof/sessions/day_test.go
@@ -195,7 +195,8 @@
 	return fmt.Sprintf("%s %s for %s", r.Method, path, org)
 }
 
-// story notes the events of a request as an operator reads them.
+// story notes the events of a request as an operator reads them, process by
+// process: what two processes do at once has no order.
 func (d *day) story(title, marker string) {
 	a := d.f.Operate(context.Background(), "entry-1", http.MethodGet, "/timeline?limit=2000", "", 0)
 	var g timeline.Gathered
@@ -203,14 +204,22 @@
 		d.t.Errorf("timeline: %v", err)
 		return
 	}
-	var kinds []string
+	var order []ident.VM
+	kinds := make(map[ident.VM][]string)
 	for _, e := range g.Events {
-		if strings.HasPrefix(string(e.Request), "r-"+marker+"-") {
-			role, _, _ := strings.Cut(string(e.VM), "-")
-			kinds = append(kinds, strings.TrimSpace(fmt.Sprintf("%s %s %s", role, e.Kind, e.Detail)))
+		if !strings.HasPrefix(string(e.Request), "r-"+marker+"-") {
+			continue
 		}
+		if kinds[e.VM] == nil {
+			order = append(order, e.VM)
+		}
+		kinds[e.VM] = append(kinds[e.VM], strings.TrimSpace(fmt.Sprintf("%s %s", e.Kind, e.Detail)))
+	}
+	d.add("time line     %s", title)
+	for _, vm := range order {
+		role, _, _ := strings.Cut(string(vm), "-")
+		d.add("              %s: %s", role, strings.Join(kinds[vm], " > "))
 	}
-	d.add("time line     %s: %s", title, strings.Join(kinds, " > "))
 }
 
 // totals notes what ran over the whole day, from the endpoints' record.
