--- a/internal/agent/schedule/service.go
+++ b/internal/agent/schedule/service.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 	"github.com/uber-go/tally/v4"
 
@@ -32,12 +31,13 @@
 	demandHalfLife   = 30 * time.Second
 	rememberedBuilds = 256
 	wantedBuilds     = 16
-	// slotPatience is the time that an attempt waits while every slot is in use.
-	slotPatience = 2 * time.Second
 	// fencePoll is the time after which the fencing number is looked for again.
 	fencePoll = time.Second
 )
 
+// SlotPatience is the time that an attempt waits while every slot is in use.
+const SlotPatience = 6 * time.Second
+
 // Options configures New.
 type Options struct {
 	Engine      engine.Engine               // Not used where Slots is 0.
@@ -47,7 +47,6 @@
 	Slots       int           // Adapter builds that the engine holds at once; 0 for a plain service.
 	Capacity    int           // Attempts that the endpoint runs at once.
 	Grace       time.Duration // Longest time that Serve waits for attempts at its end.
-	Log         *logrus.Entry
 	Timeline    *timeline.Ring
 	Metrics     tally.Scope // None where nil.
 }
