A repeat of a claimed Idempotency-Key says ran unknown while the first may run

Cause: the refusal said ran no of the repeat alone. A caller that reads it as the request's would send a new key, and the deposit would run twice. Change: ran unknown, and the message asks for the same key.

--- a/internal/agent/claims/refusals.go
+++ b/internal/agent/claims/refusals.go
@@ -12,7 +12,7 @@
 // unavailable refuses a request whose claim could not be taken.
 func unavailable() *refusal.Refusal {
 	return refusal.New(refusal.CodeClaimsUnavailable, refusal.RanNo,
-		"the key-value service did not take the Idempotency-Key's claim; the request did not run").After(storeRetryAfter)
+		"the Idempotency-Key's claim could not be kept; this sending did not run").After(storeRetryAfter)
 }
 
 // refusalOf refuses a repeat that gets no stored answer.
@@ -20,8 +20,8 @@
 	switch v {
 	case claim.VerdictInUse:
 		left := max(time.Second, min(found.Deadline.Sub(now), storeRetryAfter))
-		return refusal.New(refusal.CodeClaimed, refusal.RanNo,
-			"a request with this Idempotency-Key still runs; this repeat did not run").After(left)
+		return refusal.New(refusal.CodeClaimed, refusal.RanUnknown,
+			"a request with this Idempotency-Key may still run; send it again with the same key").After(left)
 	case claim.VerdictReused:
 		return refusal.New(refusal.CodeKeyReused, refusal.RanNo,
 			"the Idempotency-Key was used for another request; this one did not run")
