--- a/internal/platform/vmlist/vmlist.go
+++ b/internal/platform/vmlist/vmlist.go
@@ -58,11 +58,23 @@
 	VMs(ctx context.Context) ([]VM, error)
 }
 
-// Client reads the list as a JSON array over HTTP.
+// Client reads the list as a JSON array over HTTP. It asks for the list again
+// only where the list has changed since the last reading, where the server
+// gives an ETag. It is safe for concurrent use.
 type Client struct {
 	url     string
 	client  *http.Client
 	timeout time.Duration
+
+	mu   sync.Mutex
+	last reading
+}
+
+// reading is one answer with its ETag; the ETag is empty where the server
+// gave none.
+type reading struct {
+	etag string
+	vms  []VM
 }
 
 // NewClient returns a Client for the list at url.
@@ -70,27 +82,47 @@
 	return &Client{url: url, client: http.DefaultClient, timeout: timeout}
 }
 
-// VMs implements List.
+// VMs implements List. The caller must not change the rows.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	c.mu.Lock()
+	last := c.last
+	c.mu.Unlock()
+	next, err := c.read(ctx, last)
 	if err != nil {
 		return nil, errors.WithType(err, ErrUnavailable)
 	}
+	c.mu.Lock()
+	c.last = next
+	c.mu.Unlock()
+	return next.vms, nil
+}
+
+func (c *Client) read(ctx context.Context, last reading) (reading, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return reading{}, err
+	}
+	if last.etag != "" {
+		req.Header.Set("If-None-Match", last.etag)
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return nil, errors.WithType(err, ErrUnavailable)
+		return reading{}, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.WithType(errors.Errorf("status %d", resp.StatusCode), ErrUnavailable)
+	switch {
+	case resp.StatusCode == http.StatusNotModified && last.etag != "":
+		return last, nil
+	case resp.StatusCode != http.StatusOK:
+		return reading{}, errors.Errorf("status %d", resp.StatusCode)
 	}
-	var vms []VM
-	if err := json.NewDecoder(resp.Body).Decode(&vms); err != nil {
-		return nil, errors.WithType(err, ErrUnavailable)
+	next := reading{etag: resp.Header.Get("ETag")}
+	if err := json.NewDecoder(resp.Body).Decode(&next.vms); err != nil {
+		return reading{}, err
 	}
-	return vms, nil
+	return next, nil
 }
 
 // Static is a List in memory. It is safe for concurrent use.
--- a/internal/standin/vmlist/vmlist.go
+++ b/internal/standin/vmlist/vmlist.go
@@ -4,10 +4,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	platform "github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
 )
 
@@ -40,8 +44,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.Method {
 	case http.MethodGet:
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(s.now())
+		s.get(w, r)
 	case http.MethodPut:
 		var vms []platform.VM
 		if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
@@ -54,6 +57,23 @@
 	}
 }
 
+// get answers with the list, or with 304 where the reader has it already.
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	data, err := json.Marshal(s.now())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
+
 func (s *Server) now() []platform.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
