--- a/internal/agent/intake/answer.go
+++ b/internal/agent/intake/answer.go
@@ -153,26 +153,11 @@
 
 // passRaw passes bytes on as they arrive.
 func (a *attempt) passRaw(body io.Reader) error {
-	out := &flusher{w: a.w, control: http.NewResponseController(a.w)}
+	out := wire.NewFlusher(a.w)
 	_, err := io.CopyBuffer(out, body, make([]byte, copyBufferBytes))
 	return err
 }
 
-// flusher sends each part at once.
-type flusher struct {
-	w       io.Writer
-	control *http.ResponseController
-}
-
-// Write implements io.Writer.
-func (f *flusher) Write(p []byte) (int, error) {
-	n, err := f.w.Write(p)
-	if err == nil {
-		_ = f.control.Flush()
-	}
-	return n, err
-}
-
 // count takes the tokens from the engine's own count.
 func (a *attempt) count(body []byte) {
 	var answer struct {
--- a/internal/agent/schedule/refusals.go
+++ b/internal/agent/schedule/refusals.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
@@ -19,22 +18,15 @@
 }
 
 func busy(message string, retryAfter time.Duration) *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeUnavailable, Code: refusal.CodeEndpointBusy,
-		Message: message, Ran: refusal.RanNo, RetryAfter: retryAfter,
-	}
+	return refusal.New(refusal.CodeEndpointBusy, refusal.RanNo, message).After(retryAfter)
 }
 
 func loadFailed(retryAfter time.Duration) *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeEndpoint, Code: refusal.CodeAdapterLoadFailed,
-		Message: "the endpoint could not load the adapter", Ran: refusal.RanNo, RetryAfter: retryAfter,
-	}
+	return refusal.New(refusal.CodeAdapterLoadFailed, refusal.RanNo,
+		"the endpoint could not load the adapter").After(retryAfter)
 }
 
 func noFence() *refusal.Refusal {
-	return &refusal.Refusal{
-		Status: http.StatusServiceUnavailable, Type: refusal.TypeEndpoint, Code: refusal.CodeAdapterLoadFailed,
-		Message: "the endpoint takes no load orders now", Ran: refusal.RanNo, RetryAfter: busyRetryAfter,
-	}
+	return refusal.New(refusal.CodeAdapterLoadFailed, refusal.RanNo,
+		"the endpoint takes no load orders now").After(busyRetryAfter)
 }
--- a/internal/entry/dispatch/answer.go
+++ b/internal/entry/dispatch/answer.go
@@ -101,7 +101,7 @@
 
 // passRaw passes head and the rest of the answer on as it arrives.
 func (a *attempt) passRaw(resp *http.Response, head []byte) ended {
-	out := &flusher{w: a.w, control: http.NewResponseController(a.w)}
+	out := wire.NewFlusher(a.w)
 	_, err := out.Write(head)
 	if err == nil {
 		_, err = io.CopyBuffer(out, resp.Body, make([]byte, copyBufferBytes))
@@ -136,18 +136,3 @@
 func isLocalPath(location string) bool {
 	return strings.HasPrefix(location, "/") && !strings.HasPrefix(location, "//")
 }
-
-// flusher sends each part at once.
-type flusher struct {
-	w       io.Writer
-	control *http.ResponseController
-}
-
-// Write implements io.Writer.
-func (f *flusher) Write(p []byte) (int, error) {
-	n, err := f.w.Write(p)
-	if err == nil {
-		_ = f.control.Flush()
-	}
-	return n, err
-}
