Slots: an order that never left is given again after a pause

Cause: an order answered as not sent changed nothing and was due again at once; with an engine that cannot be reached the scheduler would spin. Ruled out in running agents only because the fencing guard decides before it. Change: such an answer holds loads and unloads back for the repeat delay. Test: nothing at once, one order after the delay. The load tool counts what its own limit cuts apart from broken answers.

--- a/internal/experiment/drive/drive.go
+++ b/internal/experiment/drive/drive.go
@@ -83,6 +83,7 @@
 	Whole      int                  // Whole answers.
 	Broken     int                  // Answers that ended before they were whole.
 	Failed     int                  // Requests without an answer.
+	Unfinished int                  // Requests that the load's own limit cut.
 	Refused    map[refusal.Code]int // Refusals by code.
 	FirstToken *hdrhistogram.Histogram
 	BetweenTwo *hdrhistogram.Histogram
@@ -144,7 +145,7 @@
 	begin := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
-		r.count(func() { r.Failed++ })
+		r.failed(ctx)
 		return
 	}
 	defer resp.Body.Close()
@@ -152,7 +153,17 @@
 		r.refused(resp)
 		return
 	}
-	r.stream(resp.Body, begin)
+	r.stream(ctx, resp.Body, begin)
+}
+
+func (r *Report) failed(ctx context.Context) {
+	r.count(func() {
+		if ctx.Err() != nil {
+			r.Unfinished++
+			return
+		}
+		r.Failed++
+	})
 }
 
 func (r *Report) refused(resp *http.Response) {
@@ -167,7 +178,7 @@
 	})
 }
 
-func (r *Report) stream(body io.Reader, begin time.Time) {
+func (r *Report) stream(ctx context.Context, body io.Reader, begin time.Time) {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxLineBytes)
 	last, first, whole := begin, true, false
@@ -191,11 +202,14 @@
 		last = now
 	}
 	r.count(func() {
-		if whole && lines.Err() == nil {
+		switch {
+		case whole && lines.Err() == nil:
 			r.Whole++
-			return
+		case ctx.Err() != nil:
+			r.Unfinished++
+		default:
+			r.Broken++
 		}
-		r.Broken++
 	})
 }
 
@@ -211,6 +225,7 @@
 		{"whole answers", strconv.Itoa(r.Whole)},
 		{"broken answers", strconv.Itoa(r.Broken)},
 		{"no answer", strconv.Itoa(r.Failed)},
+		{"cut by the load's own limit", strconv.Itoa(r.Unfinished)},
 		{"refused", r.refusals()},
 		{"whole answers a second", fmt.Sprintf("%.1f", float64(r.Whole)/r.Elapsed.Seconds())},
 		{"first token, median / 95 in 100", quantiles(r.FirstToken)},
--- a/internal/policy/slots/answers.go
+++ b/internal/policy/slots/answers.go
@@ -27,8 +27,10 @@
 	return false
 }
 
-// notSent puts a build back to what it was before an order that never left.
+// notSent puts a build back to what it was before an order that never left,
+// and holds further orders back for a while, since they would not leave either.
 func (m *Machine) notSent(now time.Time, i issued, e *entry) {
+	m.holdUntil = now.Add(m.config.RepeatDelay)
 	e.state = e.before
 	switch {
 	case i.boot != m.boot:
--- a/internal/policy/slots/orders.go
+++ b/internal/policy/slots/orders.go
@@ -18,7 +18,7 @@
 
 // PermitsNeeded returns the load permits that Orders could use now.
 func (m *Machine) PermitsNeeded(now time.Time, s Situation) int {
-	if !m.listed || !s.MayOrder {
+	if !m.listed || !s.MayOrder || m.holdUntil.After(now) {
 		return 0
 	}
 	room := m.config.Slots - m.Taken() + m.evictable() + m.inFlight(KindUnload)
@@ -46,7 +46,7 @@
 	if m.needsList(now) {
 		out = append(out, m.list())
 	}
-	if !m.listed || !s.MayOrder {
+	if !m.listed || !s.MayOrder || m.holdUntil.After(now) {
 		return out
 	}
 	permits := s.Permits - m.inFlight(KindUnload)
@@ -78,6 +78,7 @@
 	if !m.listed || m.listAgain {
 		consider(m.listRetry)
 	}
+	consider(m.holdUntil)
 	for _, e := range m.entries {
 		if e.state == StateUnknown {
 			consider(e.repeatAt)
--- a/internal/policy/slots/slots.go
+++ b/internal/policy/slots/slots.go
@@ -116,6 +116,7 @@
 	listOrder OrderID
 	listBoot  ident.BootID
 	listRetry time.Time
+	holdUntil time.Time // No load or unload before, since the last one never left.
 	lastOrder OrderID
 	entries   map[Build]*entry
 	versions  map[ident.Adapter]ident.Version // Asked for last, of the kept entries.
--- a/internal/policy/slots/slots_test.go
+++ b/internal/policy/slots/slots_test.go
@@ -347,3 +347,25 @@
 		t.Fatalf("state %d after the answer to an order of the former boot", state)
 	}
 }
+
+func TestOrderThatNeverLeftIsGivenAgainAfterAPause(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := New(testConfig())
+	m.Booted(bootID(0))
+	s := Situation{Permits: 2, MayOrder: true}
+	m.Listed(now, m.Orders(now, s)[0].ID, nil, true)
+	m.Wait(now, build(0))
+	s.Wanted = []Build{build(0)}
+	load := m.Orders(now, s)[0]
+	m.Answered(now, load.ID, OutcomeNotSent)
+	if orders := m.Orders(now, s); len(orders) != 0 || m.PermitsNeeded(now, s) != 0 {
+		t.Fatalf("given again at once: %v", orders)
+	}
+	next := m.NextTime(now)
+	if next != now.Add(testConfig().RepeatDelay) {
+		t.Fatalf("next time %v", next)
+	}
+	if orders := m.Orders(next, s); len(orders) != 1 || orders[0].Kind != KindLoad {
+		t.Errorf("after the pause: %v", orders)
+	}
+}
