--- /dev/null
+++ b/internal/experiment/drive/drive_test.go
@@ -0,0 +1,50 @@
+package drive
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
+)
+
+func TestOnlyLoopbackIsDriven(t *testing.T) {
+	for _, address := range []string{"10.0.0.1:80", "example.com:80", "80"} {
+		_, err := Run(t.Context(), Settings{Address: address, Models: []string{"m"}, Requests: 1, Concurrency: 1, Limit: time.Second})
+		if !errors.Is(err, ErrNotLoopback) {
+			t.Errorf("%s: %v", address, err)
+		}
+	}
+}
+
+func TestEachOutcomeIsCountedOnce(t *testing.T) {
+	var n atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		switch n.Add(1) {
+		case 1:
+			_, _ = io.WriteString(w, "data: {}\n\ndata: [DONE]\n\n")
+		case 2:
+			_, _ = io.WriteString(w, "data: {}\n\n")
+		case 3:
+			refusal.New(refusal.CodeRateLimited, refusal.RanNo, "later").After(time.Second).Write(w)
+		default:
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	report, err := Run(t.Context(), Settings{
+		Address: strings.TrimPrefix(server.URL, "http://"), Models: []string{"m"}, Requests: 4, Concurrency: 1, Limit: time.Minute,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Whole != 1 || report.Broken != 1 || report.Refused[refusal.CodeRateLimited] != 1 || report.Failed != 1 {
+		t.Errorf("whole %d, broken %d, refused %v, failed %d", report.Whole, report.Broken, report.Refused, report.Failed)
+	}
+}
--- a/internal/experiment/endpoints/experiment.go
+++ b/internal/experiment/endpoints/experiment.go
@@ -28,7 +28,7 @@
 	for _, d := range deployments {
 		for _, s := range scenarios {
 			fmt.Fprintf(out, "\n%s, %s: %d engines, %d plain instances, %g loads/s, %g requests/s of Zipf %g, flood of %g times\n",
-				d.name, s.name, d.runners, d.plain, d.loadRate, d.rate*s.rate, s.zipf, s.flood)
+				d.name, s.name, d.engines, d.plain, d.loadRate, d.rate*s.rate, s.zipf, s.flood)
 			if err := compare(ctx, d, s, opts.Seed, out); err != nil {
 				return err
 			}
--- a/internal/experiment/endpoints/run.go
+++ b/internal/experiment/endpoints/run.go
@@ -30,7 +30,7 @@
 func simulate(d deployment, s scenario, sys system, requests []*request) *run {
 	r := &run{system: sys, byVM: make(map[ident.VM]*agent)}
 	r.store = &weightStore{clock: &r.clock, interval: interval(d.loadRate)}
-	r.engines = r.agents("engine", d.runners, false)
+	r.engines = r.agents("engine", d.engines, false)
 	r.plain = r.agents("plain", d.plain, true)
 	for range entries {
 		r.placers = append(r.placers, newPlacer(r))
--- a/internal/experiment/endpoints/workload.go
+++ b/internal/experiment/endpoints/workload.go
@@ -27,7 +27,7 @@
 // deployment is the size of one fleet and its load.
 type deployment struct {
 	name      string
-	runners   int
+	engines   int
 	plain     int
 	loadRate  float64 // Loads a second that the weight store gives.
 	rate      float64 // Completions a second in normal running.
@@ -38,11 +38,11 @@
 
 var deployments = []deployment{
 	{
-		name: "kowalnia", runners: 18, plain: 4, loadRate: 4, rate: 14, plainRate: 20,
+		name: "kowalnia", engines: 18, plain: 4, loadRate: 4, rate: 14, plainRate: 20,
 		shares: []float64{0.38, 0.28, 0.18, 0.10, 0.06}, weights: []int{4, 3, 2, 1, 1},
 	},
 	{
-		name: "consorcio", runners: 12, plain: 4, loadRate: 3, rate: 8, plainRate: 20,
+		name: "consorcio", engines: 12, plain: 4, loadRate: 3, rate: 8, plainRate: 20,
 		shares: []float64{0.34, 0.30, 0.26, 0.06, 0.04}, weights: []int{3, 3, 3, 1, 1},
 	},
 }
