Callers: one that stops sending its body is told in time

Cause: seen from outside with a raw connection: no answer to a body that stops, at all. The read deadline was taken back before the refusal, and the server waits for the rest of a body before it sends an answer. Change: the deadline stays where the body could not be read. A test of callers that stop reading stands beside it.

--- a/internal/entry/callers/body.go
+++ b/internal/entry/callers/body.go
@@ -33,13 +33,15 @@
 	control := http.NewResponseController(c.w)
 	_ = control.SetReadDeadline(time.Now().Add(h.opts.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, h.opts.MaxBodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, bodyTooLarge(tooLarge.Limit)
 	}
 	if err != nil {
+		// The deadline stays, so that the server does not wait for the rest of
+		// the body before it sends the refusal.
 		return nil, badRequest("the body could not be read in time")
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
--- a/internal/entry/callers/callers_test.go
+++ b/internal/entry/callers/callers_test.go
@@ -1,15 +1,20 @@
 package callers
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/admission"
@@ -91,8 +96,8 @@
 		Metrics:      tally.NoopScope,
 		MaxBodyBytes: 1000,
 		Timeout:      time.Minute,
-		BodyTimeout:  time.Second,
-		WriteTimeout: time.Second,
+		BodyTimeout:  50 * time.Millisecond,
+		WriteTimeout: 50 * time.Millisecond,
 	})
 	return f
 }
@@ -344,3 +349,57 @@
 		t.Errorf("hours %+v", hours)
 	}
 }
+
+func TestCallerThatStopsSendingItsBodyIsToldInTime(t *testing.T) {
+	f := newFixture(true)
+	server := httptest.NewServer(f.handler)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+
+		"\r\nContent-Length: 100\r\n\r\n{\"model")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil) // Waits for ever where the server does.
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusBadRequest || resp.Header.Get(refusal.HeaderRan) != string(refusal.RanNo) {
+		t.Errorf("status %d, ran %q", resp.StatusCode, resp.Header.Get(refusal.HeaderRan))
+	}
+}
+
+func TestCallerThatStopsReadingIsLeft(t *testing.T) {
+	f := newFixture(true)
+	ended := make(chan error, 1)
+	f.dispatcher.answer = func(_ context.Context, w http.ResponseWriter) dispatch.Result {
+		part := make([]byte, 1<<20)
+		for {
+			if _, err := w.Write(part); err != nil { // Only a full connection ends this.
+				ended <- err
+				return dispatch.Result{Ran: refusal.RanYes, Broken: true}
+			}
+		}
+	}
+	server := httptest.NewServer(f.handler)
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	body := `{"model":"syllabus"}`
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		testKey, len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("ended with %v", err)
+	}
+}
