Time line: an agent records the run that was cancelled

Cause: seen from outside, a caller that left ended at request_running on the agent, and nothing showed that the endpoint's work was cancelled.

--- a/internal/agent/intake/answer.go
+++ b/internal/agent/intake/answer.go
@@ -120,7 +120,11 @@
 		return
 	}
 	a.h.broken.Inc(1)
-	if ctx.Err() == nil && a.died(ctx) {
+	if ctx.Err() != nil {
+		a.record(timeline.KindRequestCut)
+		return
+	}
+	if a.died(ctx) {
 		a.w.Header().Set(wire.TrailerCrashed, "true")
 	}
 }
