--- a/internal/agent/claims/claims.go
+++ b/internal/agent/claims/claims.go
@@ -17,6 +17,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
+	"github.com/hyssoptiller/hyssoptiller/internal/pause"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/claim"
 )
@@ -172,7 +173,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.claims.opts.Persist)
 	defer cancel()
 	for wait := firstBackoff; ctx.Err() == nil; wait = min(2*wait, longestBackoff) {
-		sleep(ctx, wait)
+		_ = pause.For(ctx, wait)
 		if h.complete(ctx) == nil {
 			return
 		}
@@ -254,12 +255,3 @@
 	}
 	return r, entry.Index, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/agent/claims/sweep.go
+++ b/internal/agent/claims/sweep.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/pause"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/claim"
 )
@@ -25,7 +26,7 @@
 func (c *Claims) Serve(ctx context.Context) error {
 	shard := rand.IntN(claim.Shards)
 	for {
-		sleep(ctx, sweepInterval)
+		_ = pause.For(ctx, sweepInterval)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/internal/agent/fencing/fencing.go
+++ b/internal/agent/fencing/fencing.go
@@ -19,6 +19,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/drain"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/pause"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/engine"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 )
@@ -105,7 +106,7 @@
 	go f.tick(ctx)
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil {
-			sleep(ctx, retryDelay)
+			_ = pause.For(ctx, retryDelay)
 		}
 	}
 	return ctx.Err()
@@ -270,12 +271,3 @@
 	}
 	f.ticked = now
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fleet/config/editor.go
+++ b/internal/fleet/config/editor.go
@@ -10,6 +10,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config/hashtree"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/pause"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 )
 
@@ -284,7 +285,7 @@
 		if settled {
 			return revision, err
 		}
-		pause(deadline, settleDelay)
+		_ = pause.For(deadline, settleDelay)
 	}
 	return 0, ErrOutcomeUnknown
 }
--- a/internal/fleet/config/replica.go
+++ b/internal/fleet/config/replica.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -165,12 +164,3 @@
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fleet/config/survey.go
+++ b/internal/fleet/config/survey.go
@@ -10,6 +10,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/members"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/rpc"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/pause"
 )
 
 const (
@@ -130,7 +131,7 @@
 		if len(said) == len(entries) || ctx.Err() != nil {
 			return withdrawal(at, entries, said, granting)
 		}
-		pause(ctx, surveyDelay)
+		_ = pause.For(ctx, surveyDelay)
 	}
 }
 
--- a/internal/fleet/config/watch.go
+++ b/internal/fleet/config/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config/hashtree"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/rpc"
+	"github.com/hyssoptiller/hyssoptiller/internal/pause"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 )
 
@@ -56,7 +57,7 @@
 		}
 		now := time.Now()
 		if now.Sub(r.opts.Contact.ConfirmedAt()) < unconfirmedLimit || now.Before(next) {
-			pause(ctx, idleDelay)
+			_ = pause.For(ctx, idleDelay)
 			continue
 		}
 		next = now.Add(pollInterval(len(entries), r.opts.Contact.Majority()))
@@ -92,11 +93,11 @@
 	}
 	r.health.set(degradedStore, err != nil)
 	if err != nil {
-		pause(ctx, retryDelay)
+		_ = pause.For(ctx, retryDelay)
 		return after
 	}
 	if !r.take(ctx, sent, entry) {
-		pause(ctx, retryDelay)
+		_ = pause.For(ctx, retryDelay)
 		return 0
 	}
 	return entry.Index
@@ -183,7 +184,7 @@
 			return nil
 		})
 	}
-	pause(ctx, backupDelay)
+	_ = pause.For(ctx, backupDelay)
 	if r.Current() == job.next {
 		name := &rpc.PushRequest{Vm: req.Vm, Head: req.Head}
 		for _, backup := range role.Backups {
--- a/internal/fleet/shares/generations.go
+++ b/internal/fleet/shares/generations.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/rpc"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/pause"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
 )
@@ -32,13 +33,13 @@
 		entry, err := k.opts.Store.Watch(ctx, recordKey, index, watchWait)
 		if err != nil {
 			k.noteStore(true)
-			pause(ctx, watchRetry)
+			_ = pause.For(ctx, watchRetry)
 			continue
 		}
 		k.noteStore(false)
 		index = entry.Index
 		if index == 0 {
-			pause(ctx, watchRetry)
+			_ = pause.For(ctx, watchRetry)
 			continue
 		}
 		if rec, err := decodeRecord(entry); err == nil {
@@ -273,7 +274,7 @@
 		} else if !k.leaveOne(ctx, gen) {
 			return
 		}
-		pause(ctx, leavePoll)
+		_ = pause.For(ctx, leavePoll)
 	}
 }
 
--- a/internal/fleet/shares/keeper.go
+++ b/internal/fleet/shares/keeper.go
@@ -16,6 +16,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/transport"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/pause"
 	"github.com/hyssoptiller/hyssoptiller/internal/platform/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
 )
@@ -129,7 +130,7 @@
 			k.holder.Beat(time.Now())
 		}
 		k.mu.Unlock()
-		pause(ctx, tickInterval)
+		_ = pause.For(ctx, tickInterval)
 	}
 	return ctx.Err()
 }
--- a/internal/fleet/shares/settler.go
+++ b/internal/fleet/shares/settler.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/rpc"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
+	"github.com/hyssoptiller/hyssoptiller/internal/pause"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/limit"
 )
 
@@ -87,7 +88,7 @@
 	for {
 		select {
 		case <-s.wake:
-			pause(ctx, settleDelay)
+			_ = pause.For(ctx, settleDelay)
 		case <-ticker.C:
 			s.again()
 		case <-ctx.Done():
@@ -174,12 +175,3 @@
 	}
 	return failed
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/platform/store/memory.go
+++ b/internal/platform/store/memory.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/pause"
 )
 
 // Fault names one way in which Memory misbehaves.
@@ -241,7 +243,7 @@
 	delay := m.delay
 	m.mu.Unlock()
 	if delay > 0 {
-		if err := sleep(ctx, delay); err != nil {
+		if err := pause.For(ctx, delay); err != nil {
 			return err
 		}
 	}
@@ -310,14 +312,3 @@
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
