Agent: the header is its own after an informational answer

Cause: 3 of 4 race runs of the suite on an idle machine failed. net/http writes the header of a 1xx answer on another goroutine and returns where the stream has ended, so that a refusal wrote to a map that was being read; without the detector that can end the process. Ruled out: asking the request's context, which ends after the stream where the connection is lost. Change: a Content-Length makes net/http write a copy. The gossip test waits until what the store confirmed before its outage is older than the question.

--- a/internal/agent/intake/intake.go
+++ b/internal/agent/intake/intake.go
@@ -101,7 +101,7 @@
 		return
 	}
 	if r.Header.Get(wire.HeaderAccept) == "true" {
-		w.WriteHeader(wire.StatusAccepted)
+		accept(w)
 	}
 	a.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, h.opts.MaxBodyBytes))
 	if err != nil {
@@ -113,6 +113,16 @@
 	a.serve(ctx)
 }
 
+// accept tells the entry that the attempt has arrived. Where the stream ends
+// meanwhile, net/http goes on writing the informational answer's header after
+// WriteHeader has returned; with a Content-Length it writes a copy, so that the
+// header may be changed then.
+func accept(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(wire.StatusAccepted)
+	w.Header().Del("Content-Length")
+}
+
 // deadline returns when the attempt's time is up. Time that the attempt spent
 // unread, while this process was paused, counts by the entry's clock.
 func deadline(job wire.Job, now time.Time) time.Time {
--- a/internal/fleet/gossip/exchange_test.go
+++ b/internal/fleet/gossip/exchange_test.go
@@ -332,6 +332,7 @@
 			node.store.Store(false)
 		}
 		n.install(1)
+		time.Sleep(time.Second) // What the store confirmed before it went is older than the question.
 		asked := time.Now()
 		time.Sleep(3 * time.Second)
 		n.service.take(asked, members.Member{VM: "entry-001"}, &rpc.ExchangeResponse{
