--- a/internal/entry/dispatch/whole_test.go
+++ b/internal/entry/dispatch/whole_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
@@ -111,13 +112,27 @@
 		f.addEngines(2, plainEngine)
 		wantWhole(f.t, f.complete(false, "warm"), false)
 		f.net.freeze(f.nodes[0].vm.Address)
+		began := time.Now()
 		wantWhole(f.t, f.complete(false, "x"), false)
+		if took := time.Since(began); took > 4*time.Second {
+			f.t.Errorf("took %v beside a stopped agent", took)
+		}
 		f.net.resume(f.nodes[0].vm.Address)
 		f.settle()
 		wantWhole(f.t, f.complete(true, "y"), true)
 	})
 }
 
+func TestStoppedAgentIsWaitedForWhereThereIsNoOther(t *testing.T) {
+	run(t, func(f *fleet) {
+		f.addEngines(1, plainEngine)
+		wantWhole(f.t, f.complete(false, "warm"), false)
+		f.net.freeze(f.nodes[0].vm.Address)
+		time.AfterFunc(8*time.Second, func() { f.net.resume(f.nodes[0].vm.Address) })
+		wantWhole(f.t, f.complete(false, "x"), false)
+	})
+}
+
 func TestRefusalTellsOfAllAttemptsTogether(t *testing.T) {
 	run(t, func(f *fleet) {
 		f.addEngines(2, plainEngine)
@@ -200,3 +215,21 @@
 		}
 	})
 }
+
+// A caller that leaves says nothing against the endpoint.
+func TestCallerThatLeavesIsObservedAsSuch(t *testing.T) {
+	run(t, func(f *fleet) {
+		f.addServices(1)
+		f.services[0].SetDelay(2 * time.Second)
+		ctx, cancel := context.WithCancel(f.t.Context())
+		go func() {
+			time.Sleep(time.Second)
+			cancel()
+		}()
+		send(ctx, f.dispatcher, depositJob("k"), `{"amount":5}`)
+		last := f.observed[len(f.observed)-1]
+		if last.Outcome != dispatch.OutcomeAbandoned {
+			f.t.Errorf("last observation %+v", last)
+		}
+	})
+}
