--- a/cmd/hyssop-agent/main.go
+++ b/cmd/hyssop-agent/main.go
@@ -2,9 +2,6 @@
 package main
 
 import (
-	"fmt"
-	"os"
-
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/sirupsen/logrus"
 
@@ -14,26 +11,14 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
-const (
-	exitSettings = 2
-	exitFailure  = 1
-)
-
 func main() {
 	var s agent.Settings
 	app := kingpin.New("hyssop-agent", "Stands beside one endpoint of a hyssoptiller fleet.")
 	addFlags(app, &s)
-	level := process.LevelFlag(app)
-	kingpin.MustParse(app.Parse(os.Args[1:]))
-	if err := s.Check(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitSettings)
-	}
-	log := process.NewLogger(os.Stderr, process.ParseLevel(*level), "hyssop-agent").WithField("vm", s.VM)
-	if err := run(s, log); err != nil {
-		log.WithError(err).Error("ended with an error")
-		os.Exit(exitFailure)
-	}
+	check := func() error { return s.Check() }
+	process.Main(app, check, func(log *logrus.Entry) error {
+		return run(s, log.WithField("vm", s.VM))
+	})
 }
 
 func addFlags(app *kingpin.Application, s *agent.Settings) {
--- a/internal/entry/admission/admission.go
+++ b/internal/entry/admission/admission.go
@@ -43,8 +43,7 @@
 	return fmt.Sprintf("organisation's rate used up, retry after %s", l.RetryAfter)
 }
 
-// Local is a Limiter that counts in this process only: the baseline against
-// which the fleet-wide one is measured, and the double for tests.
+// Local is a Limiter that counts in this process only: the double for tests.
 type Local struct {
 	mu       sync.Mutex
 	limiters map[ident.Organisation]*rate.Limiter
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -7,9 +7,7 @@
 package members
 
 import (
-	"github.com/hyssoptiller/hyssoptiller/internal/fleet/directory"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
-	"github.com/hyssoptiller/hyssoptiller/internal/platform/vmlist"
 )
 
 // Incarnation numbers the lives of the process on one VM. It is drawn from
@@ -60,40 +58,3 @@
 	// by VM, and those that are gone but not yet forgotten.
 	Entries() []Member
 }
-
-// Listed is a View straight from the VM list, without direct contact.
-type Listed struct {
-	self      Member
-	directory *directory.Directory
-}
-
-// NewListed returns a Listed for the process that self describes.
-func NewListed(self Member, d *directory.Directory) *Listed {
-	return &Listed{self: self, directory: d}
-}
-
-// Self implements View.
-func (l *Listed) Self() Member {
-	return l.self
-}
-
-// Entries implements View.
-func (l *Listed) Entries() []Member {
-	var out []Member
-	for _, vm := range l.directory.View().Entries() {
-		if vm.ID == l.self.VM {
-			out = append(out, l.self)
-			continue
-		}
-		out = append(out, fromList(vm))
-	}
-	return out
-}
-
-func fromList(vm vmlist.VM) Member {
-	m := Member{VM: vm.ID, Address: vm.Address, FailureDomain: vm.FailureDomain, Region: vm.Region}
-	if vm.State == vmlist.StateLeaving {
-		m.State = StateLeaving
-	}
-	return m
-}
