Loads of the whole fleet bound what may be loaded

The scheduler expected 250 ms for each.

Callers of busy engines are told to stay away for 2 s: peaks last for seconds.

--- a/internal/policy/routing/doc.go
+++ b/internal/policy/routing/doc.go
@@ -9,6 +9,8 @@
 //   - While many adapters are on their way from the weight store, requests stay
 //     with engines that hold theirs, so that a flash crowd does not turn into
 //     loads.
+//   - Rare adapters that are all asked for at once cause only as many loads as
+//     the weight store carries in time; the other requests are refused.
 //   - An engine that fails behind good health is avoided within a few requests.
 //
 // The package is pure: time is an argument and the caller holds the locks.
--- a/internal/policy/routing/engines.go
+++ b/internal/policy/routing/engines.go
@@ -18,6 +18,7 @@
 	WarmLoad     time.Duration // Time to load one that the engine held lately.
 	FullSpeed    int           // Loads under way over all engines that do not slow each other, at least.
 	FullShare    float64       // The same, for each engine.
+	LoadsMost    float64       // Loads under way, as a part of FullSpeed, up to which a request may cause another.
 	SpreadBelow  float64       // Part of FullSpeed up to which an adapter may spread to engines that lack it.
 	ColdCost     time.Duration // Of a load from the weight store where another engine has the adapter.
 	WarmCost     time.Duration // Of a quick load where another engine has the adapter loaded.
@@ -34,7 +35,8 @@
 func DefaultConfig() Config {
 	return Config{
 		ColdLoad: 250 * time.Millisecond, WarmLoad: 25 * time.Millisecond, // Of the sheets.
-		FullSpeed: 8, FullShare: 0.33, SpreadBelow: 0.5, // 8 and 16 at full speed on the sheets, for 12 to 50 engines.
+		FullSpeed: 8, FullShare: 0.33, SpreadBelow: 0.5,
+		LoadsMost:    1.5,                    // A load takes 375 ms then: within the tightest aim, 600 ms, with the reading. // 8 and 16 at full speed on the sheets, for 12 to 50 engines.
 		ColdCost:     400 * time.Millisecond, // Under the tightest aim of a stream, 600 ms: late costs more than a load.
 		WarmCost:     40 * time.Millisecond,
 		CrowdedCost:  900 * time.Millisecond, // Beyond the aims: only a queue that is lost makes an adapter spread then.
@@ -54,6 +56,7 @@
 	Snapshot   turns.Snapshot
 	Fresh      bool    // The scheduler tells its state; the snapshot is its last one otherwise.
 	SentMS     float64 // Reading of the turns that were asked for since the snapshot.
+	Asked      int     // Loads from the weight store that this router asked for since the snapshot.
 	Remembered bool    // The engine held the job's adapter lately.
 	Failing    float64 // Part of the requests that failed lately, 0 to 1.
 	Pausing    float64 // Part of the streams that paused too long lately, 0 to 1.
@@ -67,6 +70,7 @@
 	Priority int           // 0 is the most urgent.
 	Prompt   int           // Tokens to read.
 	Shared   int           // Those of them that other requests share.
+	Routers  int           // That ask the engines, this one included; 0 is taken as 1.
 	Longest  time.Duration // Wait from which the request would be late; 0 where it does not matter.
 }
 
@@ -75,6 +79,8 @@
 	ID       catalog.EndpointID
 	Expected time.Duration
 	Resident bool
+	Load     time.Duration // Of the load from the weight store that it needs, 0 where it needs none.
+	Crowded  bool          // That load would come on top of too many others.
 }
 
 // Rank returns the engines that can run a job, best first.
@@ -113,6 +119,7 @@
 // surroundings is what the choice of one engine needs to know of the others.
 type surroundings struct {
 	crowded    bool               // Many loads from the weight store are under way.
+	closed     bool               // So many that no request may cause one more.
 	coldLoad   time.Duration      // Time of one more load from the weight store.
 	loaded     bool               // An engine holds the adapter.
 	remembered bool               // An engine held it lately.
@@ -123,7 +130,8 @@
 	var s surroundings
 	coming := 0
 	for _, e := range engines {
-		coming += e.Snapshot.Coming
+		// The other routers are taken to have asked for as many.
+		coming += e.Snapshot.Coming + e.Asked*max(job.Routers, 1)
 		s.loaded = s.loaded || holds(e, job.Key)
 		s.remembered = s.remembered || e.Remembered
 	}
@@ -132,6 +140,7 @@
 	}
 	full := max(float64(c.FullSpeed), c.FullShare*float64(len(engines)))
 	s.crowded = float64(coming) > c.SpreadBelow*full
+	s.closed = float64(coming+1) > c.LoadsMost*full
 	s.coldLoad = time.Duration(float64(c.ColdLoad) * max(1, float64(coming+1)/full))
 	return s
 }
@@ -180,6 +189,9 @@
 		wait += 10 * c.ColdLoad // A model's load takes seconds.
 	}
 	cost := time.Duration(e.Failing*float64(c.FailingCost) + e.Pausing*float64(c.PausingCost))
+	if !choice.Resident && !e.Remembered {
+		choice.Load, choice.Crowded = around.coldLoad, around.closed
+	}
 	if !choice.Resident {
 		load, more := loadCost(c, e, around)
 		wait = max(wait, load)
--- a/internal/policy/routing/routing_test.go
+++ b/internal/policy/routing/routing_test.go
@@ -107,6 +107,32 @@
 	}
 }
 
+// Pattern: rare adapters all at once. Loads that would slow those under way too
+// much are not begun, also where the snapshots do not tell of them yet; an engine
+// that holds or held the adapter is not concerned.
+func TestLoadsAreBoundedOverTheFleet(t *testing.T) {
+	engines := fleet(18)
+	if c := first(t, engines, key(1)); c.Crowded || c.Load != config.ColdLoad {
+		t.Errorf("no loads under way: %+v", c)
+	}
+	for i := range 12 {
+		engines[i].Snapshot.Coming = 1
+	}
+	if c := first(t, engines, key(1)); !c.Crowded || c.Load < config.ColdLoad*3/2 {
+		t.Errorf("12 loads under way: %+v", c)
+	}
+	engines[4].Remembered = true
+	if c := first(t, engines, key(1)); c.Crowded || c.ID != engines[4].ID || c.Load != 0 {
+		t.Errorf("quick load: %+v", c)
+	}
+	engines = fleet(18)
+	engines[0].Asked = 3
+	ranked := Rank(config, Job{Key: key(1), Domain: "a", Routers: 4}, engines)
+	if !ranked[0].Crowded {
+		t.Errorf("12 loads asked for by 4 routers: %+v", ranked[0])
+	}
+}
+
 // Pattern: flash crowd. A request that would be late wherever its adapter is goes
 // to an engine that is free, whatever the load costs.
 func TestLateRequestSpreads(t *testing.T) {
--- a/internal/policy/turns/machine.go
+++ b/internal/policy/turns/machine.go
@@ -361,7 +361,7 @@
 		return m.hold, RefusalReplace
 	}
 	if !m.usable(t.Key, now) {
-		wait = max(wait, m.loadTime(t.Key)+m.placeWait(t.Key))
+		wait = max(wait, m.loadTime(t)+m.placeWait(t.Key))
 	}
 	if t.Patience > 0 && wait > m.longestWait(t, ms) {
 		return wait, RefusalLate
@@ -389,9 +389,9 @@
 	return millis.Duration(m.reads.backlogMS() + ms*m.reads.slowness)
 }
 
-func (m *Machine) loadTime(key catalog.AdapterKey) time.Duration {
-	if a := m.held[key]; a != nil && a.loading || !slices.Contains(m.recent, key) {
-		return m.config.ColdLoad
+func (m *Machine) loadTime(t Turn) time.Duration {
+	if a := m.held[t.Key]; a != nil && a.loading || !slices.Contains(m.recent, t.Key) {
+		return max(m.config.ColdLoad, t.Load)
 	}
 	return m.config.WarmLoad
 }
--- a/internal/policy/turns/machine_test.go
+++ b/internal/policy/turns/machine_test.go
@@ -251,6 +251,25 @@
 	}
 }
 
+// Pattern: rare adapters all at once. A turn whose load takes too long beside the
+// loads of the other engines is refused at once; an adapter that was held lately
+// is not concerned.
+func TestTurnWhoseLoadIsSlowIsRefusedAtOnce(t *testing.T) {
+	m, r := newTestMachine(1), emptyReport()
+	load(t, m, adapterKey(1), &r, at(0))
+	slow := Turn{ID: 7, Key: adapterKey(2), Prompt: 100, Aim: time.Second, Patience: 2 * time.Second, Load: 1500 * time.Millisecond}
+	m.Ask(slow, at(1))
+	if d := decisions(m)[7]; d.Refusal != RefusalLate || d.Expected != slow.Load {
+		t.Errorf("%+v, want a refusal that expects the load", d)
+	}
+	m.recent = append(m.recent, slow.Key)
+	slow.ID = 8
+	m.Ask(slow, at(2))
+	if d, ok := decisions(m)[8]; ok {
+		t.Errorf("%+v for a quick load", d)
+	}
+}
+
 // An adapter whose unloading may be under way gets no turn, though its outcome
 // is unknown. Found by TestInvariantsOfAMachine.
 func TestNoTurnWhileUnloadingMayBeUnderWay(t *testing.T) {
--- a/internal/policy/turns/types.go
+++ b/internal/policy/turns/types.go
@@ -70,6 +70,7 @@
 	Priority int           // 0 is the most urgent, Ranks-1 the least.
 	Aim      time.Duration // Until the first event is late; 0 where there is no aim.
 	Patience time.Duration // Until the first event is too late to be waited for; 0 waits for any time.
+	Load     time.Duration // Of a load from the weight store beside all that are under way; 0 where unknown.
 }
 
 // Ranks is the number of priorities that are told apart.
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -102,9 +102,9 @@
 			continue
 		}
 		health := r.endpoints.health(ep)
-		snapshot, fresh, sent := l.state(now)
+		state := l.state(now)
 		out = append(out, routing.Engine{
-			ID: ep.ID, Domain: ep.Domain, Snapshot: snapshot, Fresh: fresh, SentMS: sent,
+			ID: ep.ID, Domain: ep.Domain, Snapshot: state.snapshot, Fresh: state.fresh, SentMS: state.sentMS, Asked: state.asked,
 			Failing: health.Failing(now), Pausing: health.Pausing(now),
 			Remembered: l.remembers(q.call.Adapter), Tried: q.tried[ep.ID] || health.Blocked(now),
 		})
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -21,8 +21,9 @@
 	defaultAim = time.Second
 	// streamSilence bounds a silent stream that may go on elsewhere, in aims.
 	streamSilence = 2.0
-	// holdForRetry is told to callers of a busy service on top of the expected wait.
-	holdForRetry = 200 * time.Millisecond
+	// busyWait is the least time that callers of busy engines are told to stay
+	// away. They are late in any case then, and peaks last for seconds.
+	busyWait = 2 * time.Second
 )
 
 // engineWay sends requests to model engines, with a turn of the scheduler.
@@ -38,7 +39,7 @@
 			return r.attempt(q, p.to, version, q.engineSilence())
 		},
 		none: func(q *request, expected time.Duration) {
-			r.refuse(q, refusal.CodeEndpointBusy, "No engine can begin the request in time.", expected+holdForRetry)
+			r.refuse(q, refusal.CodeEndpointBusy, "No engine can begin the request in time.", max(expected, busyWait))
 		},
 	}
 }
@@ -50,8 +51,7 @@
 	for range mostAsked {
 		v := r.state.View()
 		now := time.Now()
-		job := routing.Job{Key: q.call.Adapter, Domain: r.settings.Domain, Priority: q.priority(), Prompt: q.call.PromptTokens, Shared: q.sharedTokens(), Longest: q.longestWait(now)}
-		ranked := routing.Rank(r.routing, job, r.engines(v, q, now))
+		ranked := routing.Rank(r.routing, r.job(q, now), r.engines(v, q, now))
 		if len(ranked) == 0 {
 			return nil, least
 		}
@@ -62,6 +62,10 @@
 			continue
 		}
 		q.story.expected = best.Expected
+		if best.Crowded {
+			q.step(best.ID, "loads_crowded")
+			return nil, busyWait
+		}
 		p, expected := r.ask(q, to, best)
 		if p != nil || q.ctx.Err() != nil {
 			return p, expected
@@ -77,6 +81,14 @@
 	return nil, least
 }
 
+// job describes the request to the choice of an engine.
+func (r *Router) job(q *request, now time.Time) routing.Job {
+	return routing.Job{
+		Key: q.call.Adapter, Domain: r.settings.Domain, Priority: q.priority(), Prompt: q.call.PromptTokens,
+		Shared: q.sharedTokens(), Routers: r.peers.Count(), Longest: q.longestWait(now),
+	}
+}
+
 // ask asks one engine's scheduler for a turn.
 func (r *Router) ask(q *request, to *catalog.Endpoint, choice routing.Choice) (*placed, time.Duration) {
 	l := r.links.to(to.Address)
@@ -84,20 +96,20 @@
 		return nil, retryLeast
 	}
 	now := time.Now()
-	if _, fresh, _ := l.state(now); !fresh {
+	if !l.state(now).fresh {
 		if choice.Resident {
 			return &placed{to: to}, 0 // The engine itself refuses what it does not hold.
 		}
 		return nil, retryLeast
 	}
 	patience := q.patience(now)
-	l.noteSent(now, float64(q.call.PromptTokens)/r.routing.PrefillPerMS)
+	l.noteSent(now, float64(q.call.PromptTokens)/r.routing.PrefillPerMS, choice.Load > 0)
 	began := time.Now()
 	t, reply, err := l.ask(q.ctx, turncall.Ask{
 		Request: q.call.RequestID, Instance: string(to.ID), Born: to.Born, Version: r.state.View().Versions[q.call.Adapter],
 		Model: q.call.Adapter.Model, Adapter: q.call.Adapter.Adapter,
 		Parts: q.call.Parts, Prompt: q.call.PromptTokens, Output: q.call.OutputTokens, Priority: q.priority(),
-		PatienceMS: patience.Milliseconds(), AimMS: max(q.aim()-now.Sub(q.arrived), 0).Milliseconds(),
+		PatienceMS: patience.Milliseconds(), AimMS: max(q.aim()-now.Sub(q.arrived), 0).Milliseconds(), LoadMS: choice.Load.Milliseconds(),
 	})
 	q.story.waited += time.Since(began)
 	if err != nil {
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -56,8 +56,9 @@
 
 // sentTurn is a turn that was asked for a moment ago.
 type sentTurn struct {
-	at time.Time
-	ms float64 // Of reading.
+	at   time.Time
+	ms   float64 // Of reading.
+	load bool    // Needs a load from the weight store.
 }
 
 // watch reads snapshots until ctx ends.
@@ -142,26 +143,38 @@
 	return held
 }
 
-// state returns the last snapshot, whether it is recent, and the reading that
-// was sent since.
-func (l *link) state(now time.Time) (turns.Snapshot, bool, float64) {
+// linkState is what a router knows of an engine at one moment.
+type linkState struct {
+	snapshot turns.Snapshot
+	fresh    bool    // The snapshot is recent.
+	sentMS   float64 // Reading of the turns that were asked for since.
+	asked    int     // Loads from the weight store that were asked for since.
+}
+
+func (l *link) state(now time.Time) linkState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ms, kept := 0.0, l.sent[:0]
-	for _, s := range l.sent {
-		if now.Sub(s.at) < sentFor {
-			ms += s.ms
-			kept = append(kept, s)
+	s := linkState{snapshot: l.snapshot, fresh: now.Sub(l.seen) < linkSilent}
+	kept := l.sent[:0]
+	for _, t := range l.sent {
+		if now.Sub(t.at) >= sentFor {
+			continue
+		}
+		kept = append(kept, t)
+		s.sentMS += t.ms
+		if t.load && t.at.After(l.seen) {
+			s.asked++
 		}
 	}
 	l.sent = kept
-	return l.snapshot, now.Sub(l.seen) < linkSilent, ms
+	return s
 }
 
-func (l *link) noteSent(now time.Time, ms float64) {
+// noteSent notes a turn that is asked for, with the milliseconds of its reading.
+func (l *link) noteSent(now time.Time, ms float64, load bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sent = append(l.sent, sentTurn{now, ms})
+	l.sent = append(l.sent, sentTurn{at: now, ms: ms, load: load})
 }
 
 // turn is a granted turn. It is held until release.
