Pauses of streams are learned by schedulers from the engines' reports

Each router learned that by itself from a stream in ten seconds and forgot it in three.

Change: the scheduler counts the events that come later than their streams allow, of all streams; routers weigh it by the events that a route's streams make. What a router saw by itself of pauses is gone.

--- a/internal/policy/routing/engines.go
+++ b/internal/policy/routing/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -26,7 +27,7 @@
 	AwayCost     time.Duration // Of a first load on an engine that is not the adapter's home.
 	OtherDomain  time.Duration // Of another failure domain.
 	FailingCost  time.Duration // Of an engine that fails all its requests.
-	PausingCost  time.Duration // Of an engine all of whose streams pause too long.
+	PausingCost  time.Duration // Of an engine on which the stream is sure to pause too long.
 	UnseenCost   time.Duration // Of an engine whose scheduler is silent.
 	PrefillPerMS float64       // Tokens that an engine reads in a millisecond.
 }
@@ -43,7 +44,7 @@
 		AwayCost:     150 * time.Millisecond,
 		OtherDomain:  8 * time.Millisecond, // A few round trips between failure domains.
 		FailingCost:  3 * time.Second,
-		PausingCost:  600 * time.Millisecond, // Late costs about as much as a load then.
+		PausingCost:  800 * time.Millisecond, // A pause makes an answer late like a first event beyond its aim, 600 to 1,000 ms.
 		UnseenCost:   400 * time.Millisecond,
 		PrefillPerMS: 32, // 1,024 tokens in a step of 4.4 ms and 27 ms of reading, of the sheets.
 	}
@@ -59,7 +60,6 @@
 	Asked      int     // Loads from the weight store that this router asked for since the snapshot.
 	Remembered bool    // The engine held the job's adapter lately.
 	Failing    float64 // Part of the requests that failed lately, 0 to 1.
-	Pausing    float64 // Part of the streams that paused too long lately, 0 to 1.
 	Tried      bool    // Has refused or failed this request.
 }
 
@@ -70,6 +70,7 @@
 	Priority int           // 0 is the most urgent.
 	Prompt   int           // Tokens to read.
 	Shared   int           // Those of them that other requests share.
+	Events   float64       // That its stream makes on average.
 	Routers  int           // That ask the engines, this one included; 0 is taken as 1.
 	Longest  time.Duration // Wait from which the request would be late; 0 where it does not matter.
 }
@@ -188,7 +189,7 @@
 	if len(e.Snapshot.Models) == 0 {
 		wait += 10 * c.ColdLoad // A model's load takes seconds.
 	}
-	cost := time.Duration(e.Failing*float64(c.FailingCost) + e.Pausing*float64(c.PausingCost))
+	cost := time.Duration(e.Failing*float64(c.FailingCost) + pausing(job, e)*float64(c.PausingCost))
 	if !choice.Resident && !e.Remembered {
 		choice.Load, choice.Crowded = around.coldLoad, around.closed
 	}
@@ -211,6 +212,11 @@
 	return choice, cost
 }
 
+// pausing returns the probability that the job's stream pauses too long.
+func pausing(job Job, e Engine) float64 {
+	return 1 - math.Pow(1-min(max(e.Snapshot.Slow, 0), 1), max(job.Events-1, 0))
+}
+
 // loadCost returns how long an engine takes until it holds the adapter, and what
 // the load costs beyond that.
 func loadCost(c Config, e Engine, around surroundings) (load, cost time.Duration) {
--- a/internal/policy/routing/health.go
+++ b/internal/policy/routing/health.go
@@ -10,8 +10,6 @@
 	// healthWeight weighs a new outcome: three failures in a row show an
 	// endpoint as half failing.
 	healthWeight = 0.2
-	// pauseWeight weighs a new stream; a router sees a few a second of an engine.
-	pauseWeight = 0.15
 	// healthFade halves what is known of failures in so much time, so that an
 	// endpoint that is avoided gets another chance.
 	healthFade = 3 * time.Second
@@ -27,7 +25,6 @@
 // of which nothing is known.
 type Health struct {
 	failing   float64
-	pausing   float64
 	asOf      time.Time
 	latencyMS float64
 	misses    int
@@ -53,22 +50,6 @@
 	h.failing += healthWeight * (1 - h.failing)
 }
 
-// Streamed notes a stream and whether it paused too long.
-func (h *Health) Streamed(paused bool, now time.Time) {
-	h.fade(now)
-	part := 0.0
-	if paused {
-		part = 1
-	}
-	h.pausing += pauseWeight * (part - h.pausing)
-}
-
-// Pausing returns the part of the streams that paused too long lately.
-func (h *Health) Pausing(now time.Time) float64 {
-	h.fade(now)
-	return h.pausing
-}
-
 // Unreached notes that the endpoint could not be reached, or went silent.
 func (h *Health) Unreached(now time.Time) {
 	h.misses++
@@ -88,14 +69,13 @@
 // LatencyMS returns the moving average of the time of good answers.
 func (h *Health) LatencyMS() float64 { return h.latencyMS }
 
-// fade forgets failures and pauses with time, in steps of healthFade.
+// fade forgets failures with time, in steps of healthFade.
 func (h *Health) fade(now time.Time) {
 	if h.asOf.IsZero() || now.Sub(h.asOf) > healthForget {
-		h.failing, h.pausing, h.asOf = 0, 0, now
+		h.failing, h.asOf = 0, now
 	}
 	for now.Sub(h.asOf) >= healthFade {
 		h.failing /= 2
-		h.pausing /= 2
 		h.asOf = h.asOf.Add(healthFade)
 	}
 }
--- a/internal/policy/routing/routing_test.go
+++ b/internal/policy/routing/routing_test.go
@@ -149,25 +149,23 @@
 }
 
 // Pattern: engines whose streams pause too long, since they are slow or read
-// large prompts.
-func TestPausingEngineIsAvoided(t *testing.T) {
-	var h Health
-	now := time.Unix(1000, 0)
-	for range 20 {
-		h.Streamed(true, now)
-	}
+// large prompts. Long streams avoid them, short ones, which hardly meet a pause,
+// do not.
+func TestPausingEngineIsAvoidedByLongStreams(t *testing.T) {
 	engines := fleet(3)
 	home := first(t, engines, key(1)).ID
 	for i := range engines {
 		if engines[i].ID == home {
-			engines[i].Pausing = h.Pausing(now)
+			engines[i].Snapshot.Slow = 0.05
 		}
 	}
-	if first(t, engines, key(1)).ID == home {
-		t.Error("an engine all of whose streams pause is still the first")
+	long := Rank(config, Job{Key: key(1), Domain: "a", Prompt: 1000, Events: 50}, engines)
+	if long[0].ID == home {
+		t.Error("a stream of 50 events goes where one in 20 events is late")
 	}
-	if later := h.Pausing(now.Add(30 * time.Second)); later > 0.01 {
-		t.Errorf("after half a minute it counts as %.2f pausing", later)
+	short := Rank(config, Job{Key: key(1), Domain: "a", Prompt: 1000, Events: 2}, engines)
+	if short[0].ID != home {
+		t.Error("a stream of 2 events leaves its home for one late event in 20")
 	}
 }
 
--- a/internal/policy/turns/machine.go
+++ b/internal/policy/turns/machine.go
@@ -44,6 +44,7 @@
 	turn  Turn
 	since time.Time
 	read  reading
+	made  progress
 }
 
 // Machine holds the state of one engine. It is not safe for concurrent use.
@@ -64,6 +65,7 @@
 	tokens  int // Of granted turns.
 	prompts *prompts
 	reads   reads
+	pace    pace
 
 	hold        time.Duration // Moving average of the time of a run.
 	outstanding *Order
@@ -155,17 +157,24 @@
 	}
 	m.seq, m.busy, m.models = r.Sequence, r.Busy, r.Models
 	m.adopt(r, now)
-	m.begun(r.Begun, now)
+	m.progress(r.Runs, now)
 	m.settle(now)
 }
 
-// begun notes which turns have made their first event.
-func (m *Machine) begun(requests []string, now time.Time) {
+// progress notes how many events the turns have made.
+func (m *Machine) progress(runs []Run, now time.Time) {
 	m.reads.drain(now)
+	made := make(map[string]int, len(runs))
+	for _, r := range runs {
+		made[r.Request] = r.Events
+	}
 	for _, g := range m.running {
-		if slices.Contains(requests, g.turn.Request) {
-			m.reads.begun(&g.read, now)
+		events, begun := made[g.turn.Request]
+		if !begun {
+			continue
 		}
+		m.reads.begun(&g.read, now)
+		m.pace.observe(&g.made, events, g.turn.GapAim, now)
 	}
 }
 
@@ -182,6 +191,7 @@
 	m.modelAt = time.Time{}
 	m.prompts.clear()
 	m.reads.clear()
+	m.pace = pace{}
 	for _, g := range m.running {
 		m.tokens -= g.turn.Prompt + g.turn.Output
 	}
@@ -446,7 +456,7 @@
 	m.reads.drain(now)
 	s := Snapshot{
 		Alive: m.alive, Born: m.born, Models: slices.Clone(m.models),
-		Idle: max(0, m.idlePlaces()-m.awaited()), Slowness: m.reads.slowness,
+		Idle: max(0, m.idlePlaces()-m.awaited()), Slowness: m.reads.slowness, Slow: m.pace.late(now),
 		PlaceMS: millis.Of(m.placeWait(catalog.AdapterKey{Adapter: "\x00"})), Coming: m.coming(),
 	}
 	for rank := range s.WaitMS {
--- a/internal/policy/turns/machine_test.go
+++ b/internal/policy/turns/machine_test.go
@@ -367,7 +367,7 @@
 	for id := TurnID(1); id <= 30; id++ {
 		m.Ask(Turn{ID: id, Request: fmt.Sprint(id), Key: adapterKey(1), Prompt: 6400}, at(now))
 		now += 1000 // Five times the usual 200 ms.
-		r.Begun = []string{fmt.Sprint(id)}
+		r.Runs = []Run{{Request: fmt.Sprint(id), Events: 1}}
 		m.Observe(r, at(now))
 		m.Release(id, at(now))
 	}
@@ -376,6 +376,33 @@
 	}
 }
 
+// Pattern: engines slow behind good health. The pauses between events are learned
+// from the reports, and forgotten where no stream shows them.
+func TestPaceIsLearned(t *testing.T) {
+	m, r := newTestMachine(2), emptyReport()
+	m.Ask(Turn{ID: 1, Request: "1", Key: adapterKey(1), GapAim: 300 * time.Millisecond}, at(0))
+	load(t, m, adapterKey(1), &r, at(1))
+	report := func(events, ms int) float64 {
+		r.Runs = []Run{{Request: "1", Events: events}}
+		m.Observe(r, at(ms))
+		return m.Snapshot(at(ms)).Slow
+	}
+	report(1, 5000) // The first event is late by its own aim, not by the pause.
+	if slow := report(101, 25_000); slow != 0 {
+		t.Errorf("an event each 200 ms: %.2f late", slow)
+	}
+	slow := 0.0
+	for i := range 100 {
+		slow = report(102+i, 25_400+400*i)
+	}
+	if slow < 0.4 {
+		t.Errorf("100 events each 400 ms: %.2f late", slow)
+	}
+	if later := m.Snapshot(at(200_000)).Slow; later > 0.01 {
+		t.Errorf("two minutes without events: %.2f late", later)
+	}
+}
+
 func TestPromptPartsAreReadOnce(t *testing.T) {
 	p := newPrompts(1000)
 	parts := []PromptPart{{"a", 300}, {"b", 300}, {"own", 100}}
--- a/internal/policy/turns/types.go
+++ b/internal/policy/turns/types.go
@@ -19,8 +19,14 @@
 	Busy     bool  // A model is being loaded or unloaded.
 	Models   []string
 	Resident []Build
-	Coming   []Build  // Being loaded.
-	Begun    []string // Requests that have made an event.
+	Coming   []Build // Being loaded.
+	Runs     []Run   // Those that have made an event.
+}
+
+// Run is a request that runs on an engine.
+type Run struct {
+	Request string
+	Events  int // Made so far.
 }
 
 // Order is an order to an engine. Key without an adapter names the model.
@@ -70,6 +76,7 @@
 	Priority int           // 0 is the most urgent, Ranks-1 the least.
 	Aim      time.Duration // Until the first event is late; 0 where there is no aim.
 	Patience time.Duration // Until the first event is too late to be waited for; 0 waits for any time.
+	GapAim   time.Duration // Longest pause between two events that is on time; 0 where there is no aim.
 	Load     time.Duration // Of a load from the weight store beside all that are under way; 0 where unknown.
 }
 
@@ -166,5 +173,6 @@
 	Coming   int            `json:"coming"`   // Loads of adapters under way.
 	WaitMS   [Ranks]int     `json:"waitMs"`   // Expected wait of a turn of each priority for a resident adapter.
 	Slowness float64        `json:"slowness"` // Time of reading against the usual one.
+	Slow     float64        `json:"slow"`     // Part of the events that came later than their streams allow lately.
 	PlaceMS  float64        `json:"placeMs"`  // Expected wait for a place.
 }
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -105,7 +105,7 @@
 		state := l.state(now)
 		out = append(out, routing.Engine{
 			ID: ep.ID, Domain: ep.Domain, Snapshot: state.snapshot, Fresh: state.fresh, SentMS: state.sentMS, Asked: state.asked,
-			Failing: health.Failing(now), Pausing: health.Pausing(now),
+			Failing:    health.Failing(now),
 			Remembered: l.remembers(q.call.Adapter), Tried: q.tried[ep.ID] || health.Blocked(now),
 		})
 	}
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -21,6 +21,9 @@
 	defaultAim = time.Second
 	// streamSilence bounds a silent stream that may go on elsewhere, in aims.
 	streamSilence = 2.0
+	// routersMost bounds the routers that are taken to ask for loads as this one
+	// does: with more of them, one load would speak for too many others.
+	routersMost = 4
 	// busyWait is the least time that callers of busy engines are told to stay
 	// away. They are late in any case then, and peaks last for seconds.
 	busyWait = 2 * time.Second
@@ -85,7 +88,7 @@
 func (r *Router) job(q *request, now time.Time) routing.Job {
 	return routing.Job{
 		Key: q.call.Adapter, Domain: r.settings.Domain, Priority: q.priority(), Prompt: q.call.PromptTokens,
-		Shared: q.sharedTokens(), Routers: r.peers.Count(), Longest: q.longestWait(now),
+		Shared: q.sharedTokens(), Events: r.lengths.of(q.route.Name), Routers: min(r.peers.Count(), routersMost), Longest: q.longestWait(now),
 	}
 }
 
@@ -109,7 +112,7 @@
 		Request: q.call.RequestID, Instance: string(to.ID), Born: to.Born, Version: r.state.View().Versions[q.call.Adapter],
 		Model: q.call.Adapter.Model, Adapter: q.call.Adapter.Adapter,
 		Parts: q.call.Parts, Prompt: q.call.PromptTokens, Output: q.call.OutputTokens, Priority: q.priority(),
-		PatienceMS: patience.Milliseconds(), AimMS: max(q.aim()-now.Sub(q.arrived), 0).Milliseconds(), LoadMS: choice.Load.Milliseconds(),
+		PatienceMS: patience.Milliseconds(), AimMS: max(q.aim()-now.Sub(q.arrived), 0).Milliseconds(), GapAimMS: q.route.GapAim.Milliseconds(), LoadMS: choice.Load.Milliseconds(),
 	})
 	q.story.waited += time.Since(began)
 	if err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -63,6 +63,7 @@
 	quota     *quota.Ledger
 	suspects  *suspects
 	budget    *budgets
+	lengths   *lengths
 	routing   routing.Config
 	count     *Counters
 	metrics   *process.Metrics
@@ -76,7 +77,7 @@
 func New(s Settings, log *logrus.Entry) *Router {
 	metrics := process.NewMetrics()
 	r := &Router{
-		settings: s, log: log, pool: upstream.NewPool(), endpoints: newEndpoints(), routing: routing.DefaultConfig(),
+		settings: s, log: log, pool: upstream.NewPool(), endpoints: newEndpoints(), lengths: newLengths(), routing: routing.DefaultConfig(),
 		metrics: metrics, count: NewCounters(metrics.Scope.SubScope("router")), state: catalog.NewState(),
 		store: platform.NewStoreClient(s.StoreAddress),
 	}
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -123,9 +123,6 @@
 	switch res {
 	case resultAnswered:
 		h.Finished(took, now)
-		if q.route.GapAim > 0 && q.events > 1 {
-			h.Streamed(q.story.pause > q.route.GapAim, now)
-		}
 	case resultUnreached:
 		h.Unreached(now)
 	case resultBroken, resultFailed:
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -75,4 +75,5 @@
 func (r *Router) endStream(q *request, a *answer) {
 	r.beginStream(q, a)
 	q.story.outcome = "answered"
+	r.lengths.note(q.route.Name, q.events)
 }
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -38,7 +38,7 @@
 		Request: ask.Request, Key: catalog.AdapterKey{Model: ask.Model, Adapter: ask.Adapter},
 		Parts: ask.Parts, Prompt: ask.Prompt, Output: ask.Output, Priority: ask.Priority,
 		Patience: time.Duration(ask.PatienceMS) * time.Millisecond, Aim: time.Duration(ask.AimMS) * time.Millisecond,
-		Load: time.Duration(ask.LoadMS) * time.Millisecond,
+		GapAim: time.Duration(ask.GapAimMS) * time.Millisecond, Load: time.Duration(ask.LoadMS) * time.Millisecond,
 	}, ask.Version, catalog.EndpointID(ask.Instance), ask.Born)
 	defer e.Release(id)
 	var d turns.Decision
--- a/internal/turncall/turncall.go
+++ b/internal/turncall/turncall.go
@@ -32,8 +32,9 @@
 	Output     int                `json:"output"`
 	Priority   int                `json:"priority"`
 	PatienceMS int64              `json:"patienceMs"`
-	AimMS      int64              `json:"aimMs"`  // Until the first event is late.
-	LoadMS     int64              `json:"loadMs"` // Of a load from the weight store beside all that are under way.
+	AimMS      int64              `json:"aimMs"`    // Until the first event is late.
+	GapAimMS   int64              `json:"gapAimMs"` // Longest pause between two events that is on time.
+	LoadMS     int64              `json:"loadMs"`   // Of a load from the weight store beside all that are under way.
 }
 
 // Reply is the answer to an Ask. A granted turn lasts as long as the answer's
