--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -81,12 +81,7 @@
 func (s *suspects) broke(id quarantine.Fingerprint, at *catalog.Endpoint) {
 	go func() {
 		ctx := context.Background()
-		if pause.For(ctx, crashProbeAfter) != nil {
-			return
-		}
-		conn, err := net.DialTimeout("tcp", at.Address, crashProbe)
-		if err == nil {
-			_ = conn.Close()
+		if pause.For(ctx, crashProbeAfter) != nil || accepts(at.Address) {
 			return
 		}
 		c := crash{Fingerprint: id, Endpoint: at.ID}
@@ -95,6 +90,16 @@
 	}()
 }
 
+// accepts reports whether an address accepts a connection.
+func accepts(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, crashProbe)
+	if err != nil {
+		return false // Refused or silent: the process that was there is gone.
+	}
+	_ = conn.Close()
+	return true
+}
+
 func (s *suspects) count(c crash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/router/suspects_test.go
+++ b/internal/router/suspects_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"testing"
 	"time"
 
@@ -66,6 +68,30 @@
 	}
 }
 
+// A break counts as a crash where the endpoint accepts no connection afterwards;
+// a lost answer of one that lives does not.
+func TestProbeTellsACrashFromALostAnswer(t *testing.T) {
+	s := newTestSuspects()
+	bad := fingerprint("smithy", http.MethodPost, "/chat/x", []byte("bad"))
+	lost := fingerprint("smithy", http.MethodPost, "/chat/x", []byte("lost"))
+	for _, id := range []catalog.EndpointID{"e1", "e2", "e3"} {
+		alive, dead := httptest.NewServer(http.NotFoundHandler()), httptest.NewServer(http.NotFoundHandler())
+		defer alive.Close()
+		dead.Close()
+		s.broke(lost, &catalog.Endpoint{ID: id, Address: alive.Listener.Addr().String()})
+		s.broke(bad, &catalog.Endpoint{ID: id, Address: dead.Listener.Addr().String()})
+	}
+	for end := time.Now().Add(5 * time.Second); !held(s, bad); {
+		if time.Now().After(end) {
+			t.Fatal("three endpoints died under a request that is not held")
+		}
+		runtime.Gosched()
+	}
+	if held(s, lost) {
+		t.Error("a request is held though its endpoints live")
+	}
+}
+
 // All routers together stay within the fleet's retry budget.
 func TestRetryBudgetOfAllRouters(t *testing.T) {
 	const routers, requests = 5, 40
