A model of the served system; turns are taken only within their aim

Change: internal/experiment/serving, a model of engines, weight store, routers and callers that drives the real packages routing and turns (hyssop-load serving), with four baselines in one run. By its prediction a turn is taken only while its first event is expected within its aim (was 1.2 aims), and 100 ms are read ahead (was 200 ms). Decisions of one engine no longer depend on the order of maps: the model's figures repeat.

--- a/cmd/hyssop-load/main.go
+++ b/cmd/hyssop-load/main.go
@@ -14,6 +14,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/endpoints"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/limits"
 	"github.com/hyssoptiller/hyssoptiller/internal/experiment/quarantine"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/serving"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 )
 
@@ -27,6 +28,7 @@
 	limits.New(),
 	quarantine.Crashes,
 	quarantine.Storm,
+	serving.Experiment,
 }
 
 func main() {
--- a/internal/experiment/endpoints/agent.go
+++ b/internal/experiment/endpoints/agent.go
@@ -63,9 +63,9 @@
 
 // take puts an attempt into the queue, or refuses it.
 func (a *agent) take(t *attempt) {
-	now := a.run.clock.time()
+	now := a.run.clock.Time()
 	t.agent = a
-	t.since = a.run.clock.now
+	t.since = a.run.clock.Now()
 	t.resident = a.machine.State(t.request.build) == slots.StateResident
 	a.lastID++
 	t.id = a.lastID
@@ -85,7 +85,7 @@
 	}
 	a.advance()
 	if t.waiting {
-		a.run.clock.after(schedule.SlotPatience, a.advance)
+		a.run.clock.After(schedule.SlotPatience, a.advance)
 	}
 }
 
@@ -125,7 +125,7 @@
 }
 
 func (a *agent) finished(t *attempt) {
-	now := a.run.clock.time()
+	now := a.run.clock.Time()
 	a.running--
 	if t.request.build != (slots.Build{}) {
 		a.machine.End(now, t.use)
@@ -136,7 +136,7 @@
 }
 
 func (a *agent) advance() {
-	now := a.run.clock.time()
+	now := a.run.clock.Time()
 	for a.running < capacity {
 		item, ok := a.queue.Pop(now, a.fit)
 		if !ok {
@@ -180,7 +180,7 @@
 		return
 	}
 	t.request.stalled = true
-	t.request.stall = a.run.clock.now - t.request.at
+	t.request.stall = a.run.clock.Now() - t.request.at
 }
 
 // refuseStuck refuses attempts for which no slot could be had in time.
@@ -189,7 +189,7 @@
 		return
 	}
 	stuck := a.queue.Take(func(item fairqueue.Item) bool {
-		waited := a.run.clock.now - a.attempts[item.ID].since
+		waited := a.run.clock.Now() - a.attempts[item.ID].since
 		absent := item.Build != (slots.Build{}) && a.machine.State(item.Build) == slots.StateAbsent
 		return absent && waited >= schedule.SlotPatience
 	})
@@ -219,14 +219,14 @@
 
 func (a *agent) carryOut(o slots.Order) {
 	done := func() {
-		a.machine.Answered(a.run.clock.time(), o.ID, slots.OutcomeDone)
+		a.machine.Answered(a.run.clock.Time(), o.ID, slots.OutcomeDone)
 		a.advance()
 	}
 	switch o.Kind {
 	case slots.KindList:
-		a.machine.Listed(a.run.clock.time(), o.ID, nil, true)
+		a.machine.Listed(a.run.clock.Time(), o.ID, nil, true)
 	case slots.KindUnload:
-		a.run.clock.after(unloadTime, done)
+		a.run.clock.After(unloadTime, done)
 	case slots.KindLoad:
 		a.permits--
 		a.queue.ChargeLoad(o.Build)
--- a/internal/experiment/endpoints/engine.go
+++ b/internal/experiment/endpoints/engine.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"time"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/simclock"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/slots"
 )
 
@@ -25,7 +26,7 @@
 
 // fakeEngine runs batches in steps of one token for each sequence.
 type fakeEngine struct {
-	clock    *clock
+	clock    *simclock.Clock
 	batch    []*sequence
 	stepping bool
 	finished func(*attempt)
@@ -53,7 +54,7 @@
 	e.tokens += int64(len(e.batch))
 	e.busy += length
 	batch := e.batch
-	e.clock.after(length, func() { e.stepped(batch) })
+	e.clock.After(length, func() { e.stepped(batch) })
 }
 
 func (e *fakeEngine) stepLength() time.Duration {
@@ -75,7 +76,7 @@
 	for _, s := range batch {
 		if !s.began {
 			s.began = true
-			s.attempt.request.first = e.clock.now
+			s.attempt.request.first = e.clock.Now()
 		}
 		s.left--
 		if s.left <= 0 {
@@ -115,7 +116,7 @@
 
 // weightStore paces loads and slows them down beyond a number in flight.
 type weightStore struct {
-	clock    *clock
+	clock    *simclock.Clock
 	interval time.Duration // Between the beginnings of two loads.
 	next     time.Duration // When the next load may begin.
 	inFlight int
@@ -131,9 +132,9 @@
 
 // permit calls granted when a load may begin.
 func (w *weightStore) permit(granted func()) {
-	earliest := w.clock.now - loadBurst*w.interval
+	earliest := w.clock.Now() - loadBurst*w.interval
 	w.next = max(w.next, earliest) + w.interval
-	w.clock.after(max(w.next-w.clock.now, 0), granted)
+	w.clock.After(max(w.next-w.clock.Now(), 0), granted)
 }
 
 // load calls loaded when a load is done.
@@ -143,7 +144,7 @@
 	if w.inFlight > freeLoads {
 		length = loadTime * time.Duration(w.inFlight) / freeLoads
 	}
-	w.clock.after(length, func() {
+	w.clock.After(length, func() {
 		w.inFlight--
 		loaded()
 	})
--- a/internal/experiment/endpoints/run.go
+++ b/internal/experiment/endpoints/run.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/simclock"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/placement"
 )
@@ -16,7 +17,7 @@
 
 // run is one system under the arrivals of one scenario.
 type run struct {
-	clock   clock
+	clock   simclock.Clock
 	system  system
 	store   *weightStore
 	engines []*agent
@@ -36,9 +37,9 @@
 		r.placers = append(r.placers, newPlacer(r))
 	}
 	for _, q := range requests {
-		r.clock.after(q.at, func() { r.arrive(q) })
+		r.clock.After(q.at, func() { r.arrive(q) })
 	}
-	r.clock.until(s.length + patience)
+	r.clock.Until(s.length + patience)
 	return r
 }
 
@@ -63,7 +64,7 @@
 }
 
 func (r *run) try(q *request, candidates []*agent) {
-	if len(candidates) == 0 || q.attempts == maxAttempts || r.clock.now-q.at >= patience {
+	if len(candidates) == 0 || q.attempts == maxAttempts || r.clock.Now()-q.at >= patience {
 		q.refused = true
 		return
 	}
@@ -71,19 +72,19 @@
 	chosen := candidates[0]
 	placer := r.placers[q.entry]
 	placer.Sent(chosen.vm)
-	sent := r.clock.now
+	sent := r.clock.Now()
 	t := &attempt{request: q}
 	t.ended = func(t *attempt, refused bool) {
 		if refused {
-			placer.Refused(r.clock.time(), chosen.vm, placementJob(q), chosen.load())
-			r.clock.after(networkDelay, func() { r.try(q, candidates[1:]) })
+			placer.Refused(r.clock.Time(), chosen.vm, placementJob(q), chosen.load())
+			r.clock.After(networkDelay, func() { r.try(q, candidates[1:]) })
 			return
 		}
 		q.done = true
-		placer.Done(chosen.vm, r.clock.now-sent, t.resident)
+		placer.Done(chosen.vm, r.clock.Now()-sent, t.resident)
 	}
-	r.clock.after(networkDelay, func() { chosen.take(t) })
-	r.clock.after(q.at+patience-r.clock.now, func() { r.giveUp(t) })
+	r.clock.After(networkDelay, func() { chosen.take(t) })
+	r.clock.After(q.at+patience-r.clock.Now(), func() { r.giveUp(t) })
 }
 
 func (r *run) giveUp(t *attempt) {
@@ -95,5 +96,5 @@
 // answered tells the entry that the answer began.
 func (r *run) answered(t *attempt) {
 	q := t.request
-	r.placers[q.entry].Answered(r.clock.time(), t.agent.vm, placementJob(q), "boot", t.agent.load())
+	r.placers[q.entry].Answered(r.clock.Time(), t.agent.vm, placementJob(q), "boot", t.agent.load())
 }
--- a/internal/experiment/endpoints/systems.go
+++ b/internal/experiment/endpoints/systems.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/agent/schedule"
 	entry "github.com/hyssoptiller/hyssoptiller/internal/entry/endpoints"
+	"github.com/hyssoptiller/hyssoptiller/internal/experiment/simclock"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/fairqueue"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/placement"
@@ -49,7 +50,7 @@
 	return config
 }
 
-func newFakeEngine(c *clock, finished func(*attempt)) *fakeEngine {
+func newFakeEngine(c *simclock.Clock, finished func(*attempt)) *fakeEngine {
 	return &fakeEngine{clock: c, finished: finished, prefixes: list.New()}
 }
 
@@ -87,7 +88,7 @@
 
 func chooseByPlacement(r *run, q *request) []*agent {
 	var out []*agent
-	for _, vm := range r.placers[q.entry].Choose(r.clock.time(), placementJob(q)) {
+	for _, vm := range r.placers[q.entry].Choose(r.clock.Time(), placementJob(q)) {
 		out = append(out, r.byVM[vm])
 	}
 	return out
--- a/internal/experiment/endpoints/events.go
+++ b/internal/experiment/simclock/clock.go
@@ -1,14 +1,16 @@
-package endpoints
+// Package simclock runs the events of an experiment in order of time, as fast as
+// they can be computed.
+package simclock
 
 import (
 	"container/heap"
 	"time"
 )
 
-// clock runs events in order of time; events of the same time run in the order
-// in which they were added.
-type clock struct {
-	now    time.Duration // Since the beginning of the run.
+// Clock runs events in order of time; events of the same time run in the order
+// in which they were added. The zero value stands at the beginning of a run.
+type Clock struct {
+	now    time.Duration
 	queue  eventQueue
 	events uint64
 }
@@ -19,13 +21,14 @@
 	run   func()
 }
 
-func (c *clock) after(d time.Duration, run func()) {
+// After runs a function once so much time has passed.
+func (c *Clock) After(d time.Duration, run func()) {
 	c.events++
 	heap.Push(&c.queue, event{at: c.now + d, order: c.events, run: run})
 }
 
-// until runs the events up to the given time.
-func (c *clock) until(end time.Duration) {
+// Until runs the events up to the given time.
+func (c *Clock) Until(end time.Duration) {
 	for len(c.queue) > 0 && c.queue[0].at <= end {
 		e := heap.Pop(&c.queue).(event)
 		c.now = e.at
@@ -34,8 +37,11 @@
 	c.now = end
 }
 
-// time returns the present in the form that the decisions take.
-func (c *clock) time() time.Time {
+// Now returns the time since the beginning of the run.
+func (c *Clock) Now() time.Duration { return c.now }
+
+// Time returns the present in the form that the decisions take.
+func (c *Clock) Time() time.Time {
 	return time.Unix(0, 0).Add(c.now)
 }
 
--- a/internal/policy/turns/machine.go
+++ b/internal/policy/turns/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -161,6 +162,14 @@
 	m.settle(now)
 }
 
+// sortedKeys returns a map's adapters in order, so that what is decided for one
+// after the other does not depend on chance.
+func sortedKeys[V any](of map[catalog.AdapterKey]V) []catalog.AdapterKey {
+	return slices.SortedFunc(maps.Keys(of), func(a, b catalog.AdapterKey) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
+}
+
 // progress notes how many events the turns have made.
 func (m *Machine) progress(runs []Run, now time.Time) {
 	m.reads.drain(now)
@@ -168,7 +177,8 @@
 	for _, r := range runs {
 		made[r.Request] = r.Events
 	}
-	for _, g := range m.running {
+	for _, id := range slices.Sorted(maps.Keys(m.running)) {
+		g := m.running[id]
 		events, begun := made[g.turn.Request]
 		if !begun {
 			continue
@@ -217,7 +227,8 @@
 		a.loading = true
 		a.version = b.Version
 	}
-	for key, a := range m.held {
+	for _, key := range sortedKeys(m.held) {
+		a := m.held[key]
 		if !listed[key] {
 			m.drop(key)
 			continue
--- a/internal/policy/turns/orders.go
+++ b/internal/policy/turns/orders.go
@@ -165,7 +165,8 @@
 
 // refillOrder brings back adapters that were unloaded for their next version.
 func (m *Machine) refillOrder(now time.Time) (Order, bool) {
-	for key, until := range m.refill {
+	for _, key := range sortedKeys(m.refill) {
+		until := m.refill[key]
 		if m.held[key] != nil || now.After(until) {
 			delete(m.refill, key)
 			continue
@@ -197,7 +198,8 @@
 // Unloading first keeps the places exact; one that was used lately is loaded
 // again at once.
 func (m *Machine) replaceOrder(now time.Time) (Order, bool) {
-	for key, a := range m.held {
+	for _, key := range sortedKeys(m.held) {
+		a := m.held[key]
 		if a.stale.IsZero() || a.loading || a.users > 0 {
 			continue
 		}
@@ -214,7 +216,8 @@
 	var oldest catalog.AdapterKey
 	var used time.Time
 	found := false
-	for key, a := range m.held {
+	for _, key := range sortedKeys(m.held) {
+		a := m.held[key]
 		if m.evictable(key, a) && (!found || a.used.Before(used)) {
 			oldest, used, found = key, a.used, true
 		}
--- a/internal/policy/turns/types.go
+++ b/internal/policy/turns/types.go
@@ -139,12 +139,12 @@
 		WarmLoad:     25 * time.Millisecond,
 		// A report and the way of a request take 40 ms; the engine has work
 		// meanwhile, and an urgent prompt waits no longer than this.
-		ReadAhead: 200 * time.Millisecond,
+		ReadAhead: 100 * time.Millisecond,
 		Short:     60 * time.Millisecond,  // Twice a chat's prompt on the sheets.
 		LeastWait: 400 * time.Millisecond, // A load from the weight store and a prompt.
-		// Beyond it, a turn would make those behind it late for a late answer of
-		// its own; the rest covers the error of the expectation.
-		Lateness:   1.2,
+		// Beyond its aim, a turn would make those behind it late for a late answer
+		// of its own.
+		Lateness:   1,
 		ComingMost: 4, // The protocol's bound.
 		// The former version may begin until 5 s after the announcement; the
 		// rest covers the announcement's way and the clocks.
