catalog: log each listing of the store and each ignored item

An item whose revision is below the known one was dropped without a line, so that a configuration that was ignored could not be told from one that was never read. Each listing logs its revision and the watch position before it.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -113,6 +113,9 @@
 			return err
 		}
 		f.endOutage()
+		f.Log.WithFields(logrus.Fields{
+			"event": "store_listed", "prefix": f.Prefix, "items": len(items), "revision": revision, "after": *after,
+		}).Info("items in the store listed")
 		f.replace(items)
 		if f.OnListed != nil {
 			f.OnListed(revision)
@@ -148,7 +151,12 @@
 
 // apply passes an item to OnChange unless a revision at least as new is already known.
 func (f *Follower) apply(item Item) {
-	if item.Revision <= f.revisions[item.Key] {
+	if known := f.revisions[item.Key]; item.Revision <= known {
+		if item.Revision < known {
+			f.Log.WithFields(logrus.Fields{
+				"event": "item_ignored", "key": item.Key, "revision": item.Revision, "known": known,
+			}).Info("item is older than the known one, ignored")
+		}
 		return
 	}
 	if item.Deleted {
