catalog: compare revisions of the store within one epoch only

Callers were refused with 404 or 401 for a route or key of a configuration that had been acknowledged seconds before, after a restore of the store.

Cause: a follower treated the store's revision as a clock that only rises. A store restored from a backup gives revisions out again, so that (1) an item of a lower or equal revision than the one known before was ignored, also in a listing (log: item_ignored known=9 revision=5), and (2) a watch that was resumed after the store had passed its position got no 410, and the changes before that position were never read (log: store regained for op/ without a listing).

A position is now an epoch and a revision. A listing of another epoch, or of a lower revision for a store without epochs, makes all known revisions older than the new ones and starts the grace period for missing registrations, as after an outage.

TestFollowerMirrorsRestoredStore (rapid) fails without the comparison in listings and with a store that answers a watch of another epoch.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 )
@@ -104,6 +107,7 @@
 	revision  int64
 	compacted bool // Watch returns ErrCompacted until the next List.
 	down      bool // All calls return ErrUnavailable.
+	epoch     int64
 }
 
 func (f *fakeStore) put(key string, deleted bool) {
@@ -125,42 +129,109 @@
 	change()
 }
 
-func (f *fakeStore) List(context.Context, string) ([]Item, int64, error) {
+func (f *fakeStore) List(context.Context, string) ([]Item, Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return nil, 0, ErrUnavailable
+		return nil, Position{}, ErrUnavailable
 	}
 	f.compacted = false
 	var out []Item
 	for _, i := range f.items {
 		out = append(out, i)
 	}
-	return out, f.revision, nil
+	return out, Position{f.epoch, f.revision}, nil
 }
 
-func (f *fakeStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]Item, int64, error) {
+func (f *fakeStore) Watch(ctx context.Context, _ string, after Position, wait time.Duration) ([]Item, Position, error) {
 	for end := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
 		f.mu.Lock()
-		down, compacted, revision := f.down, f.compacted, f.revision
+		down, epoch, revision := f.down, f.epoch, f.revision
+		compacted := f.compacted || after.Revision > revision
 		var out []Item
 		for _, i := range f.events {
-			if i.Revision > after {
+			if i.Revision > after.Revision {
 				out = append(out, i)
 			}
 		}
 		f.mu.Unlock()
 		switch {
 		case down:
-			return nil, 0, ErrUnavailable
+			return nil, Position{}, ErrUnavailable
 		case compacted:
-			return nil, 0, ErrCompacted
-		case len(out) > 0 || time.Now().After(end) || ctx.Err() != nil:
-			return out, revision, ctx.Err()
+			return nil, Position{}, ErrCompacted
+		case epoch != after.Epoch:
+			return nil, Position{}, ErrRestored
+		case len(out) > 0 || !time.Now().Before(end) || ctx.Err() != nil:
+			return out, Position{epoch, revision}, ctx.Err()
 		}
 	}
 }
 
+// backup returns a function that restores the present contents.
+func (f *fakeStore) backup() (restore func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	items, events, revision := maps.Clone(f.items), slices.Clone(f.events), f.revision
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.items, f.events, f.revision = maps.Clone(items), slices.Clone(events), revision
+		f.epoch++
+	}
+}
+
+// After any series of changes, restores and outages the follower has the same revisions as the
+// store, also if a revision was given out again for another change.
+func TestFollowerMirrorsRestoredStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &fakeStore{items: map[string]Item{}}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		mirror := map[string]int64{}
+		f := &Follower{Store: store, Log: logrus.NewEntry(log), revisions: map[string]int64{}, OnChange: func(i Item) {
+			if i.Deleted {
+				delete(mirror, i.Key)
+			} else {
+				mirror[i.Key] = i.Revision
+			}
+		}}
+		restores := []func(){store.backup()}
+		step := func() error {
+			err := f.step(t.Context())
+			if errors.Is(err, ErrRestored) || errors.Is(err, ErrCompacted) {
+				f.listed = false
+			}
+			return err
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0, 1:
+				store.put(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), rapid.Bool().Draw(t, "deleted"))
+			case 2:
+				restores = append(restores, store.backup())
+			case 3:
+				rapid.SampledFrom(restores).Draw(t, "backup")()
+			case 4:
+				store.update(func() { store.down = !store.down })
+			default:
+				_ = step() // Fails during an outage.
+			}
+		}
+		store.update(func() { store.down = false })
+		for range 3 {
+			_ = step() // A watch that cannot continue, a listing and a watch.
+		}
+		want := map[string]int64{}
+		for key, item := range store.items {
+			want[key] = item.Revision
+		}
+		if !maps.Equal(mirror, want) {
+			t.Fatalf("revisions at the follower = %v, want %v", mirror, want)
+		}
+	})
+}
+
 // After a loss of the store's history or an outage, the follower has the same items as the
 // store. Deletions that it missed are reported as deletions.
 func TestFollowerMirrorsStoreAfterHistoryLossAndOutage(t *testing.T) {
@@ -173,7 +244,7 @@
 		recoveries := 0
 		f := &Follower{
 			Store: store, WatchTimeout: time.Second, Log: logrus.NewEntry(log),
-			OnListed: func(int64) {}, OnRecovered: func() { recoveries++ },
+			OnListed: func(Position) {}, OnRecovered: func() { recoveries++ },
 			OnChange: func(i Item) {
 				mu.Lock()
 				defer mu.Unlock()
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -15,6 +15,9 @@
 	// ErrCompacted reports that the store no longer has the changes after the requested
 	// revision. The items must be listed again.
 	ErrCompacted = errors.ConstError("store no longer has the changes after the requested revision")
+	// ErrRestored reports that the store was restored from a backup since the requested
+	// position, or during a listing. The items must be listed again.
+	ErrRestored = errors.ConstError("store was restored from a backup")
 	// ErrUnavailable reports that the store was unreachable or did not serve the call.
 	ErrUnavailable = errors.ConstError("store unavailable")
 )
@@ -27,13 +30,21 @@
 	Deleted  bool
 }
 
+// Position is a position in the changes of a store. A store that is restored from a backup
+// starts a new epoch, in which it gives out the revisions after the backup again. Revisions of
+// different epochs are not comparable.
+type Position struct {
+	Epoch    int64
+	Revision int64
+}
+
 // Store lists and watches the items under a prefix.
 type Store interface {
-	// List returns all items and the revision after which a watch misses no change.
-	List(ctx context.Context, prefix string) ([]Item, int64, error)
-	// Watch returns the changes after a revision and the revision for the next watch. If there
-	// is no change, it returns none after about wait.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+	// List returns all items and the position after which a watch misses no change.
+	List(ctx context.Context, prefix string) ([]Item, Position, error)
+	// Watch returns the changes after a position and the position for the next watch, which is
+	// of the same epoch. If there is no change, it returns none after about wait.
+	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error)
 }
 
 const (
@@ -52,11 +63,11 @@
 	Prefix string
 	// OnChange is called for each change. Item.Deleted is set for a deletion.
 	OnChange func(Item)
-	// OnRecovered is called after an outage of the store of at least minOutage, before the first
-	// changes after it. It may be nil.
+	// OnRecovered is called after an outage of the store of at least minOutage and after a
+	// restore, before the first changes after it. It may be nil.
 	OnRecovered func()
-	// OnListed is called after each listing, with the revision of the listing. It may be nil.
-	OnListed func(revision int64)
+	// OnListed is called after each listing, with its position. It may be nil.
+	OnListed func(Position)
 	// WatchTimeout is the longest time that one watch call waits for a change.
 	WatchTimeout time.Duration
 	// MinInterval is the shortest interval between two watch calls, so that frequent changes are
@@ -64,7 +75,9 @@
 	MinInterval time.Duration
 	Log         *logrus.Entry
 
-	revisions   map[string]int64 // Revision of each known item, by key.
+	position    Position         // After the last listing or watch; zero before the first listing.
+	listed      bool             // A watch from position misses no change.
+	revisions   map[string]int64 // Revision of each known item in the epoch of position, by key.
 	outageStart time.Time        // Zero while the store responds.
 }
 
@@ -76,10 +89,11 @@
 	if f.revisions == nil {
 		f.revisions = make(map[string]int64)
 	}
-	after, listed, wait := int64(0), false, minRetryDelay
+	f.listed = false
+	wait := minRetryDelay
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := f.step(ctx, &after, &listed)
+		err := f.step(ctx)
 		if err == nil {
 			wait = minRetryDelay
 			if sleep.For(ctx, f.MinInterval-time.Since(began)) != nil {
@@ -87,10 +101,11 @@
 			}
 			continue
 		}
-		if errors.Is(err, ErrCompacted) {
-			f.Log.WithField("prefix", f.Prefix).WithField("after", after).
-				Info("store no longer has the changes after this revision; listing again")
-			listed = false
+		if f.listed && (errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored)) {
+			f.Log.WithFields(logrus.Fields{
+				"prefix": f.Prefix, "epoch": f.position.Epoch, "after": f.position.Revision, "reason": err.Error(),
+			}).Info("watch cannot continue; listing again")
+			f.listed = false
 			continue
 		}
 		if ctx.Err() != nil {
@@ -106,24 +121,17 @@
 }
 
 // step makes one list or watch call and applies its result.
-func (f *Follower) step(ctx context.Context, after *int64, listed *bool) error {
-	if !*listed {
-		items, revision, err := f.Store.List(ctx, f.Prefix)
+func (f *Follower) step(ctx context.Context) error {
+	if !f.listed {
+		items, position, err := f.Store.List(ctx, f.Prefix)
 		if err != nil {
 			return err
 		}
 		f.endOutage()
-		f.Log.WithFields(logrus.Fields{
-			"event": "store_listed", "prefix": f.Prefix, "items": len(items), "revision": revision, "after": *after,
-		}).Info("items in the store listed")
-		f.replace(items)
-		if f.OnListed != nil {
-			f.OnListed(revision)
-		}
-		*after, *listed = revision, true
+		f.applyListing(items, position)
 		return nil
 	}
-	items, revision, err := f.Store.Watch(ctx, f.Prefix, *after, f.WatchTimeout)
+	items, position, err := f.Store.Watch(ctx, f.Prefix, f.position, f.WatchTimeout)
 	if err != nil {
 		return err
 	}
@@ -131,10 +139,43 @@
 	for _, item := range items {
 		f.apply(item)
 	}
-	*after = max(revision, *after)
+	f.position.Revision = max(position.Revision, f.position.Revision)
 	return nil
 }
 
+// applyListing applies a listing and continues from its position.
+func (f *Follower) applyListing(items []Item, position Position) {
+	f.Log.WithFields(logrus.Fields{
+		"event": "store_listed", "prefix": f.Prefix, "items": len(items), "epoch": position.Epoch, "revision": position.Revision,
+		"former_epoch": f.position.Epoch, "after": f.position.Revision,
+	}).Info("items in the store listed")
+	if f.isRestored(position) {
+		f.beginEpoch()
+	}
+	f.replace(items)
+	f.position, f.listed = position, true
+	if f.OnListed != nil {
+		f.OnListed(position)
+	}
+}
+
+// isRestored reports whether the store was restored since the last position. Only a restore
+// lowers the revision.
+func (f *Follower) isRestored(position Position) bool {
+	return f.position != (Position{}) && (position.Epoch != f.position.Epoch || position.Revision < f.position.Revision)
+}
+
+// beginEpoch makes all revisions of the former epoch older than those of the new one.
+func (f *Follower) beginEpoch() {
+	f.Log.WithFields(logrus.Fields{"event": "store_restored", "prefix": f.Prefix}).Warn("store was restored from a backup")
+	for key := range f.revisions {
+		f.revisions[key] = 0
+	}
+	if f.OnRecovered != nil {
+		f.OnRecovered()
+	}
+}
+
 // replace applies a listing. Known items that are not in the listing are deleted.
 func (f *Follower) replace(items []Item) {
 	present := make(map[string]bool, len(items))
