scheduler: the fencing token contains the store epoch

A scheduler that started after a restore of the store could not load adapters: its engine rejected every order as fenced, so that callers were refused with endpoint_busy.

Cause: the token was the store's revision alone, which is lower after a restore than the token of the process before. The token is now the epoch and, below it, the revision; an epoch 0 (a store without epochs) gives the tokens of before.

--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -271,13 +271,22 @@
 	})
 }
 
-// SetFencingToken sets the fencing token for this process's orders. The token is a store
-// revision that was read after the process started. Only the first call has an effect.
-func (e *Engine) SetFencingToken(token int64) {
+// revisionBits is the width of the store's revision in a fencing token, below the store's
+// epoch. JSON numbers are exact up to 53 bits, which leaves 13 bits for the epoch.
+const revisionBits = 40
+
+// fencingToken returns a token that is higher than those of all earlier positions of the store.
+func fencingToken(p catalog.Position) int64 { return p.Epoch<<revisionBits + p.Revision }
+
+// SetFencingToken sets the fencing token for this process's orders from a position of the store
+// that was read after the process started. Only the first call has an effect.
+func (e *Engine) SetFencingToken(p catalog.Position) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.fencingToken == 0 {
-		e.fencingToken = token
-		e.log.WithField("event", "fence").WithField("token", token).Info("fencing token set")
+		e.fencingToken = fencingToken(p)
+		e.log.WithFields(logrus.Fields{
+			"event": "fence", "token": e.fencingToken, "epoch": p.Epoch, "revision": p.Revision,
+		}).Info("fencing token set")
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -81,7 +81,7 @@
 	}
 	store := platform.NewStoreClient(s.settings.StoreAddress)
 	supervisor := process.NewSupervisor("scheduler", s.log, serverGrace)
-	supervisor.Add(platform.FollowOperator(store, s.state, watchTimeout, s.log, func(p catalog.Position) { s.engine.SetFencingToken(p.Revision) }))
+	supervisor.Add(platform.FollowOperator(store, s.state, watchTimeout, s.log, s.engine.SetFencingToken))
 	supervisor.Add(&endpointLookup{
 		engine: s.engine,
 		find: func(ctx context.Context, incarnation int64) (catalog.EndpointID, error) {
