router: the lease of a registration belongs to one store epoch

After a restore of the store a router was missing from the list of routers for as long as it ran, so that the others counted too few routers, and on its shutdown it could end the lease of another process.

Cause: a restored store gives out lease ids again. Renewing the id of before succeeded for whoever had got it since, and the shutdown revoked that id. A lease now carries the epoch that granted it: a renewal that another epoch serves means that the lease has ended, and the router registers again. The shutdown removes its own key, conditional on its revision, in place of the lease.

--- a/internal/router/registrar.go
+++ b/internal/router/registrar.go
@@ -19,8 +19,8 @@
 	leaseRenewInterval = 3 * time.Second
 	// leaseRetryDelay is the delay after a failed renewal.
 	leaseRetryDelay = time.Second
-	// revokeTimeout bounds the call that revokes the lease at shutdown.
-	revokeTimeout = 500 * time.Millisecond
+	// deregisterTimeout bounds the call that removes the registration at shutdown.
+	deregisterTimeout = 500 * time.Millisecond
 )
 
 // registrar keeps this router's registration in the store.
@@ -28,7 +28,8 @@
 	store        *platform.StoreClient
 	registration platform.RouterRegistration
 	log          *logrus.Entry
-	lease        int64 // Lease of the registration; 0 if there is none.
+	lease        platform.Lease // Lease of the registration; zero if there is none.
+	revision     int64          // Revision of the registration in the store.
 }
 
 // String returns the service name for supervisor events.
@@ -46,11 +47,11 @@
 			break
 		}
 	}
-	if g.lease != 0 {
-		revokeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
+	if g.lease != (platform.Lease{}) {
+		deregisterCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
 		defer cancel()
-		if err := g.store.RevokeLease(revokeCtx, g.lease); err != nil {
-			g.log.WithError(err).Info("lease of this router's registration not revoked; it expires by itself")
+		if err := g.store.DeregisterRouter(deregisterCtx, g.registration, g.revision); err != nil {
+			g.log.WithError(err).Info("registration of this router not removed; it expires with its lease")
 		}
 	}
 	return ctx.Err()
@@ -59,20 +60,22 @@
 // renew renews the lease. If there is none or it has expired, renew registers the router under
 // a new one.
 func (g *registrar) renew(ctx context.Context) error {
-	if g.lease != 0 {
+	if g.lease != (platform.Lease{}) {
 		err := g.store.RenewLease(ctx, g.lease)
 		if !errors.Is(err, platform.ErrLeaseExpired) {
 			return err
 		}
-		g.lease = 0
+		g.log.WithField("event", "registration").Info("lease of this router's registration has ended; registering again")
+		g.lease = platform.Lease{}
 	}
 	lease, err := g.store.GrantLease(ctx, leaseTTL)
 	if err != nil {
 		return err
 	}
-	if err := g.store.RegisterRouter(ctx, g.registration, lease); err != nil {
+	revision, err := g.store.RegisterRouter(ctx, g.registration, lease)
+	if err != nil {
 		return err
 	}
-	g.lease = lease
+	g.lease, g.revision = lease, revision
 	return nil
 }
