catalog: a restored registry does not bring back endpoints

After a restore of the store, requests were sent again to endpoints that drain or have left, because the backup still lists them as ready.

Cause: a registration was believed in the order in which the store returned it. A registration has an order of its own, its incarnation and its heartbeat. In the first listing after a restore a registration counts only if it is newer by that order than the last known one; removed ones are remembered for a minute. Registrations that are written after the restore are applied as before.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -99,6 +99,48 @@
 	}
 }
 
+// A registration in a restored store counts only if it is newer than the last known one, also
+// if the endpoint has been removed since.
+func TestRestoredRegistrationMustBeNewer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	registration := func(incarnation, heartbeat int64, draining bool) *Endpoint {
+		return &Endpoint{ID: "e", Service: "s", Incarnation: incarnation, Heartbeat: heartbeat, Draining: draining}
+	}
+	for name, tc := range map[string]struct {
+		restored *Endpoint
+		removed  bool
+		want     *Endpoint
+	}{
+		"older heartbeat":             {registration(5, 6, false), false, registration(5, 7, true)},
+		"same heartbeat":              {registration(5, 7, false), false, registration(5, 7, true)},
+		"newer heartbeat":             {registration(5, 8, false), false, registration(5, 8, false)},
+		"older incarnation":           {registration(4, 9, false), false, registration(5, 7, true)},
+		"newer incarnation":           {registration(6, 1, false), false, registration(6, 1, false)},
+		"removed, same heartbeat":     {registration(5, 7, true), true, nil},
+		"removed, newer heartbeat":    {registration(5, 8, false), true, registration(5, 8, false)},
+		"removed, former incarnation": {registration(4, 9, false), true, nil},
+	} {
+		s := NewState()
+		s.SetEndpoint(registration(5, 6, false))
+		s.SetEndpoint(registration(5, 7, true))
+		if tc.removed {
+			s.RemoveEndpoint("e", now)
+		}
+		s.SetRestoredEndpoint(tc.restored)
+		got := s.View().FindEndpoint("s", "e")
+		if (got == nil) != (tc.want == nil) || got != nil && *got != *tc.want {
+			t.Errorf("%s: endpoint = %+v, want %+v", name, got, tc.want)
+		}
+	}
+	s := NewState()
+	s.SetEndpoint(registration(5, 7, false))
+	s.RemoveEndpoint("e", now)
+	s.Expire(now.Add(removedRetention))
+	if len(s.latest)+len(s.removed) > 0 {
+		t.Errorf("registrations kept after the retention: %v, want none", s.latest)
+	}
+}
+
 // fakeStore is a Store in memory.
 type fakeStore struct {
 	mu        sync.Mutex
--- a/internal/catalog/endpoint.go
+++ b/internal/catalog/endpoint.go
@@ -12,6 +12,23 @@
 	Slots         int   // Number of requests that run at the same time.
 	Draining      bool  // Accepts no new requests.
 	Incarnation   int64 // Start of this incarnation, in Unix milliseconds.
+	Heartbeat     int64 // Number of the heartbeat that wrote the registration, within the incarnation.
+}
+
+// isNewerThan reports whether a registration was written after another one of the same
+// endpoint.
+func (e *Endpoint) isNewerThan(other *Endpoint) bool {
+	if e.Incarnation != other.Incarnation {
+		return e.Incarnation > other.Incarnation
+	}
+	return e.Heartbeat > other.Heartbeat
+}
+
+// equalsExceptHeartbeat reports whether two registrations differ in their heartbeat at most.
+func (e *Endpoint) equalsExceptHeartbeat(other *Endpoint) bool {
+	copied := *e
+	copied.Heartbeat = other.Heartbeat
+	return copied == *other
 }
 
 // AdapterKey identifies an adapter of a base model.
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -28,6 +28,7 @@
 	Value    []byte
 	Revision int64 // Revision of the last change.
 	Deleted  bool
+	Restored bool // Part of the first listing after a restore: the value may be older than a known one.
 }
 
 // Position is a position in the changes of a store. A store that is restored from a backup
@@ -149,10 +150,11 @@
 		"event": "store_listed", "prefix": f.Prefix, "items": len(items), "epoch": position.Epoch, "revision": position.Revision,
 		"former_epoch": f.position.Epoch, "after": f.position.Revision,
 	}).Info("items in the store listed")
-	if f.isRestored(position) {
+	restored := f.isRestored(position)
+	if restored {
 		f.beginEpoch()
 	}
-	f.replace(items)
+	f.replace(items, restored)
 	f.position, f.listed = position, true
 	if f.OnListed != nil {
 		f.OnListed(position)
@@ -177,10 +179,11 @@
 }
 
 // replace applies a listing. Known items that are not in the listing are deleted.
-func (f *Follower) replace(items []Item) {
+func (f *Follower) replace(items []Item, restored bool) {
 	present := make(map[string]bool, len(items))
 	for _, item := range items {
 		present[item.Key] = true
+		item.Restored = restored
 		f.apply(item)
 	}
 	for key := range f.revisions {
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -11,6 +11,10 @@
 // stays in use after the outage. A running endpoint registers again within that time.
 const reregistrationGrace = 2200 * time.Millisecond
 
+// removedRetention is how long a removed registration is kept to recognise it in a restored
+// store. A backup is seconds old.
+const removedRetention = time.Minute
+
 // View is an immutable snapshot of the deployment.
 type View struct {
 	Config    *Config                // Nil before the first configuration.
@@ -35,6 +39,8 @@
 	mu         sync.Mutex
 	config     *Config
 	endpoints  map[EndpointID]*Endpoint
+	latest     map[EndpointID]*Endpoint // Last registration of each endpoint, with its heartbeat.
+	removed    map[EndpointID]time.Time // Time of removal of the registrations in latest only.
 	expiring   map[EndpointID]time.Time // Time of removal of registrations that expired in an outage.
 	versions   map[AdapterKey]int64
 	synced     bool
@@ -47,6 +53,8 @@
 func NewState() *State {
 	return &State{
 		endpoints: make(map[EndpointID]*Endpoint),
+		latest:    make(map[EndpointID]*Endpoint),
+		removed:   make(map[EndpointID]time.Time),
 		expiring:  make(map[EndpointID]time.Time),
 		versions:  make(map[AdapterKey]int64),
 		changed:   make(chan struct{}, 1),
@@ -95,12 +103,32 @@
 	return true
 }
 
-// SetEndpoint adds or updates an endpoint and reports whether anything changed.
+// SetEndpoint adds or updates an endpoint and reports whether anything but its heartbeat
+// changed.
 func (s *State) SetEndpoint(e *Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.setEndpoint(e)
+}
+
+// SetRestoredEndpoint is SetEndpoint for the registration in a restored store. It ignores a
+// registration that is not newer than the last known one: the endpoint may have started to
+// drain or left since.
+func (s *State) SetRestoredEndpoint(e *Endpoint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.latest[e.ID]; known != nil && !e.isNewerThan(known) {
+		return false
+	}
+	return s.setEndpoint(e)
+}
+
+// setEndpoint adds or updates an endpoint. The caller holds s.mu.
+func (s *State) setEndpoint(e *Endpoint) bool {
 	delete(s.expiring, e.ID)
-	if old := s.endpoints[e.ID]; old != nil && *old == *e {
+	delete(s.removed, e.ID)
+	s.latest[e.ID] = e
+	if old := s.endpoints[e.ID]; old != nil && old.equalsExceptHeartbeat(e) {
 		return false
 	}
 	s.endpoints[e.ID] = e
@@ -121,9 +149,15 @@
 		s.expiring[id] = s.graceUntil
 		return
 	}
+	s.deleteEndpoint(id, now)
+	s.invalidate()
+}
+
+// deleteEndpoint deletes an endpoint and keeps its last registration. The caller holds s.mu.
+func (s *State) deleteEndpoint(id EndpointID, now time.Time) {
 	delete(s.endpoints, id)
 	delete(s.expiring, id)
-	s.invalidate()
+	s.removed[id] = now
 }
 
 // StoreRecovered starts the grace period after a store outage.
@@ -141,7 +175,8 @@
 	s.invalidate()
 }
 
-// Expire removes the endpoints whose grace period has ended.
+// Expire removes the endpoints whose grace period has ended, and the removed registrations
+// whose retention has ended.
 func (s *State) Expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -150,10 +185,15 @@
 		if now.Before(until) {
 			continue
 		}
-		delete(s.expiring, id)
-		delete(s.endpoints, id)
+		s.deleteEndpoint(id, now)
 		changed = true
 	}
+	for id, at := range s.removed {
+		if now.Sub(at) >= removedRetention {
+			delete(s.removed, id)
+			delete(s.latest, id)
+		}
+	}
 	if changed {
 		s.invalidate()
 	}
