--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/routing"
 )
 
@@ -19,6 +20,8 @@
 	health      routing.Health
 	outstanding int    // Requests of this router that the endpoint has not finished.
 	service     string // Name of the endpoint's service.
+	incarnation int64  // Incarnation that rateLimit belongs to.
+	rateLimit   ratelimit.Observation
 }
 
 func newEndpointTracker() *endpointTracker {
@@ -42,6 +45,25 @@
 	update(&s.health)
 }
 
+// observeRateLimit records the rate limit of a response that arrived now. It reports whether the
+// limit differs from the last one of the incarnation.
+func (e *endpointTracker) observeRateLimit(ep *catalog.Endpoint, limit ratelimit.Limit, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.stats(ep)
+	former := s.rateLimitOf(ep)
+	s.incarnation, s.rateLimit = ep.Incarnation, ratelimit.Observation{Limit: limit, At: now}
+	return former.Limit != limit
+}
+
+// rateLimitOf returns the last observation of an incarnation's rate limit.
+func (s *endpointStats) rateLimitOf(ep *catalog.Endpoint) ratelimit.Observation {
+	if s.incarnation != ep.Incarnation {
+		return ratelimit.Observation{}
+	}
+	return s.rateLimit
+}
+
 // stats returns the statistics of an endpoint and creates them if needed. The caller holds
 // e.mu.
 func (e *endpointTracker) stats(ep *catalog.Endpoint) *endpointStats {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/upstream"
@@ -52,6 +53,7 @@
 		return q.sendFailed(err), nil
 	}
 	q.delivered++
+	r.observeRateLimit(endpoint, upResp)
 	head := platform.ParseResponseHead(upResp.Status, upResp.Header)
 	if !head.NotExecuted {
 		q.possibleRuns++
@@ -64,6 +66,25 @@
 	return q.readResponse(upResp, resp, head)
 }
 
+// observeRateLimit records the rate limit that an endpoint names, or does not name, in a
+// response. Status 421 may come from another endpoint at the same address.
+func (r *Router) observeRateLimit(endpoint *catalog.Endpoint, resp *upstream.Response) {
+	if resp.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	log := r.log.WithField("endpoint", endpoint.ID)
+	limit, err := platform.ParseRateLimit(resp.Header)
+	if err != nil {
+		log.WithError(err).WithField("event", "endpoint_rate_limit").Warn("rate limit of an endpoint is invalid, ignored")
+		return
+	}
+	if r.endpointTracker.observeRateLimit(endpoint, limit, time.Now()) {
+		log.WithFields(logrus.Fields{
+			"event": "endpoint_rate_limit", "named": limit.Named, "per_second": limit.PerSecond, "service": endpoint.Service,
+		}).Info("rate limit of an endpoint changed")
+	}
+}
+
 // ownsResponse reports whether a response belongs to the request. A response without a request
 // id counts as its own.
 func (q *request) ownsResponse(h http.Header) bool {
