scheduler: grants stay within the rate limit that an engine names

Cause: neither routers nor schedulers read the limit, so that ranking and grants went on as usual (class: a signal of an endpoint that nothing acts on).

All requests to an engine need a grant of its one scheduler, so that the scheduler counts them: a token bucket with the named rate and a burst of a quarter of a second. It learns of the limit from the engine's reports and from the routers, which add the last one that they received to each grant request. The newest observation of each kind counts, the lower of the two is in force, and both end with the incarnation. Without a scheduler, a router sends no requests to an engine that names a limit.

TestGrantsStayWithinRateLimit (rapid) holds the bound over generated schedules.

--- a/internal/policy/grants/machine.go
+++ b/internal/policy/grants/machine.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/millis"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 )
 
 const (
@@ -69,6 +70,7 @@
 	prompts          *promptCache
 	prefills         prefillBacklog
 	lateEvents       lateEvents
+	rate             ratelimit.Limiter // Counts the grants of this incarnation.
 
 	meanRunTime   time.Duration // Moving average.
 	outstanding   *Order
@@ -160,11 +162,23 @@
 		m.unconfirmed = nil
 	}
 	m.sequence, m.busy, m.models = r.Sequence, r.Busy, r.Models
+	m.rate.Observe(ratelimit.FromReport, ratelimit.Observation{Limit: r.RateLimit, At: now})
 	m.syncAdapters(r, now)
 	m.recordProgress(r.Runs, now)
 	m.processQueue(now)
 }
 
+// ObserveRateLimit merges the rate limit of a response that a router has received from an
+// incarnation of the engine.
+func (m *Machine) ObserveRateLimit(incarnation int64, o ratelimit.Observation) {
+	if incarnation == m.incarnation {
+		m.rate.Observe(ratelimit.FromResponse, o)
+	}
+}
+
+// RateLimit returns the engine's rate limit in force.
+func (m *Machine) RateLimit() ratelimit.Limit { return m.rate.Limit() }
+
 // sortedKeys returns the keys of a map in a fixed order, so that decisions do not
 // depend on Go's map iteration order.
 func sortedKeys[V any](m map[catalog.AdapterKey]V) []catalog.AdapterKey {
@@ -205,6 +219,7 @@
 	m.prompts.clear()
 	m.prefills.clear()
 	m.lateEvents = lateEvents{}
+	m.rate = ratelimit.Limiter{}
 	for _, g := range m.grants {
 		m.grantedTokens -= g.request.PromptTokens + g.request.MaxOutputTokens
 	}
@@ -280,15 +295,14 @@
 	stillQueued := m.queue[:0]
 	queuedMS := 0.0
 	for _, q := range m.queue {
+		rateWait := m.rate.Wait(len(stillQueued), now)
 		switch {
-		case m.canRun(q, now):
+		case m.canRun(q, now) && m.rate.Take(now):
 			m.grant(q, now)
-		case m.exceedsMaxWait(q, queuedMS, now):
-			d := Decision{
-				ID: q.request.ID, Refusal: RefusalTooLate, ExpectedWait: m.meanRunTime,
-				WaitedForLoad: q.waitsForLoad, Waited: now.Sub(q.queuedAt),
-			}
-			m.decisions = append(m.decisions, d)
+		case rateWait > 0 && q.exceedsMaxWait(rateWait, now):
+			m.refuseQueued(q, RefusalRateLimited, rateWait, now)
+		case q.exceedsMaxWait(millis.Duration(m.prefills.backlogMS()+queuedMS*m.prefills.slowdown), now):
+			m.refuseQueued(q, RefusalTooLate, m.meanRunTime, now)
 		default:
 			q.waitsForLoad = q.waitsForLoad || !m.usable(q.request.Key, now)
 			stillQueued = append(stillQueued, q)
@@ -298,13 +312,18 @@
 	m.queue = stillQueued
 }
 
-// exceedsMaxWait reports whether a queued request would start after its max wait.
-// queuedMS is the prefill time of the requests ahead of it in the queue.
-func (m *Machine) exceedsMaxWait(q *queuedRequest, queuedMS float64, now time.Time) bool {
-	if q.request.MaxWait <= 0 {
-		return false
-	}
-	return now.Sub(q.queuedAt)+millis.Duration(m.prefills.backlogMS()+queuedMS*m.prefills.slowdown) > q.request.MaxWait
+// refuseQueued refuses a request that has waited in the queue.
+func (m *Machine) refuseQueued(q *queuedRequest, reason Refusal, expectedWait time.Duration, now time.Time) {
+	m.decisions = append(m.decisions, Decision{
+		ID: q.request.ID, Refusal: reason, ExpectedWait: expectedWait,
+		WaitedForLoad: q.waitsForLoad, Waited: now.Sub(q.queuedAt),
+	})
+}
+
+// exceedsMaxWait reports whether a queued request that starts after a further wait has waited
+// longer than its max wait.
+func (q *queuedRequest) exceedsMaxWait(wait time.Duration, now time.Time) bool {
+	return q.request.MaxWait > 0 && now.Sub(q.queuedAt)+wait > q.request.MaxWait
 }
 
 // sortQueue orders the queue by priority. Within a priority, requests that can
@@ -392,10 +411,17 @@
 	if !m.usable(r.Key, now) {
 		wait = max(wait, m.expectedLoadTime(r)+m.adapterSlotWait(r.Key))
 	}
-	if r.MaxWait > 0 && wait > m.acceptedWait(r, prefillMS) {
+	rateWait := m.rate.Wait(len(m.queue), now)
+	switch accepted := m.acceptedWait(r, prefillMS); {
+	case r.MaxWait <= 0:
+		return max(wait, rateWait), RefusalNone
+	case rateWait > accepted:
+		return rateWait, RefusalRateLimited
+	case wait > accepted:
 		return wait, RefusalTooLate
+	default:
+		return max(wait, rateWait), RefusalNone
 	}
-	return wait, RefusalNone
 }
 
 // acceptedWait returns the longest expected wait with which a new request is
@@ -485,8 +511,10 @@
 		AdapterSlotWaitMS: millis.FromDuration(m.adapterSlotWait(catalog.AdapterKey{Adapter: "\x00"})),
 		LoadingAdapters:   m.loadingAdapters(),
 	}
+	rateWait := m.rate.Wait(len(m.queue), now)
+	s.RateWaitMS = int(rateWait.Milliseconds())
 	for priority := range s.PrefillWaitMS {
-		s.PrefillWaitMS[priority] = int(m.prefillWait(priority).Milliseconds())
+		s.PrefillWaitMS[priority] = int(max(m.prefillWait(priority), rateWait).Milliseconds())
 	}
 	for key, a := range m.adapters {
 		usable := a.loading || m.usable(key, now) || !a.staleSince.IsZero() && a.activeGrants == 0
--- a/internal/policy/grants/machine_test.go
+++ b/internal/policy/grants/machine_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -430,3 +431,72 @@
 		t.Errorf("same prompt for another adapter: %d uncached tokens, want 700", n)
 	}
 }
+
+// Over any period, the grants must stay within the rate limit that the engine names, and
+// a request that would wait for the limit beyond its max wait is refused on arrival.
+func TestGrantsStayWithinRateLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(0.5, 20).Draw(t, "per second")
+		m := newTestMachine(2)
+		limit := ratelimit.Limit{Named: true, PerSecond: perSecond}
+		report := Report{Incarnation: 7, Models: []string{"base"}, RateLimit: limit}
+		inReports := rapid.Bool().Draw(t, "in reports")
+		if !inReports {
+			report.RateLimit = ratelimit.Limit{}
+		}
+		now, next := at(1), RequestID(0)
+		var granted []time.Time
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				m.ApplyReport(report, now)
+			case 1:
+				m.Release(RequestID(rapid.IntRange(0, int(next)).Draw(t, "released")), now)
+			default:
+				next++
+				if !inReports {
+					m.ObserveRateLimit(7, ratelimit.Observation{Limit: limit, At: now})
+				}
+				maxWait := time.Duration(rapid.IntRange(1, 2000).Draw(t, "max wait")) * time.Millisecond
+				m.RequestGrant(Request{
+					ID: next, Key: catalog.AdapterKey{Model: "base"}, PromptTokens: 10, MaxOutputTokens: 10,
+					MaxWait: maxWait, LatencyTarget: maxWait,
+				}, now)
+			}
+			for _, d := range m.TakeDecisions() {
+				if d.Granted && m.RateLimit().Named {
+					granted = append(granted, now)
+				}
+				if d.Refusal == RefusalRateLimited && d.ExpectedWait <= 0 {
+					t.Fatalf("request %d refused for the rate limit with an expected wait of %s", d.ID, d.ExpectedWait)
+				}
+			}
+		}
+		for i, first := range granted {
+			for j := i; j < len(granted); j++ {
+				period := granted[j].Sub(first).Seconds()
+				if most := perSecond*period + max(1, perSecond*ratelimit.BurstPeriod.Seconds()) + 0.001; float64(j-i+1) > most {
+					t.Fatalf("%d grants in %.3f s at a limit of %.2f/s, want at most %.2f", j-i+1, period, perSecond, most)
+				}
+			}
+		}
+	})
+}
+
+// The snapshot must show the wait for the rate limit, so that routers prefer other engines. The
+// limit ends with the incarnation.
+func TestSnapshotShowsRateWait(t *testing.T) {
+	m := newTestMachine(2)
+	m.ApplyReport(Report{Incarnation: 7, Models: []string{"base"}, RateLimit: ratelimit.Limit{Named: true, PerSecond: 0.5}}, at(10))
+	m.RequestGrant(Request{ID: 1, Key: catalog.AdapterKey{Model: "base"}, PromptTokens: 10}, at(20))
+	if s := m.Snapshot(at(20)); s.RateWaitMS < 1900 || s.PrefillWaitMS[0] < s.RateWaitMS {
+		t.Errorf("snapshot after a grant at 0.5/s: rate wait %d ms, prefill wait %d ms; want about 2,000 ms for both",
+			s.RateWaitMS, s.PrefillWaitMS[0])
+	}
+	m.ApplyReport(Report{Incarnation: 8, Models: []string{"base"}}, at(30))
+	m.ObserveRateLimit(7, ratelimit.Observation{Limit: ratelimit.Limit{Named: true, PerSecond: 0.5}, At: at(40)})
+	if s := m.Snapshot(at(40)); s.RateWaitMS != 0 {
+		t.Errorf("rate wait of the next incarnation = %d ms, want 0", s.RateWaitMS)
+	}
+}
--- a/internal/policy/grants/types.go
+++ b/internal/policy/grants/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 )
 
 // Build is one version of an adapter.
@@ -21,6 +22,7 @@
 	Resident    []Build
 	Loading     []Build // Adapters that the engine is loading.
 	Runs        []Run   // Requests that have produced at least one event.
+	RateLimit   ratelimit.Limit
 }
 
 // Run is the progress of one request on an engine.
@@ -94,6 +96,7 @@
 	RefusalModelNotResident  Refusal = "model_not_resident" // The engine does not hold the model.
 	RefusalVersionReplaced   Refusal = "version_replaced"   // The adapter drains for its next version.
 	RefusalEngineUnreachable Refusal = "engine_lost"        // The engine does not respond.
+	RefusalRateLimited       Refusal = "engine_rate_limit"  // It would exceed the rate limit that the engine names.
 )
 
 // Decision is the response to a Request.
@@ -173,7 +176,8 @@
 	Adapters          []AdapterState     `json:"adapters"`
 	IdleAdapterSlots  int                `json:"idle"`     // Adapter slots that are empty or hold an idle adapter.
 	LoadingAdapters   int                `json:"coming"`   // Adapters that are loading.
-	PrefillWaitMS     [NumPriorities]int `json:"waitMs"`   // Expected wait by priority, for a resident adapter.
+	PrefillWaitMS     [NumPriorities]int `json:"waitMs"`   // Expected wait by priority, for a resident adapter; at least RateWaitMS.
+	RateWaitMS        int                `json:"rateMs"`   // Expected wait because of the engine's rate limit; 0 without one.
 	Slowdown          float64            `json:"slowness"` // Prefill time as a multiple of the time at normal speed.
 	LateEventRate     float64            `json:"slow"`     // Recent fraction of events whose gap exceeded the gap target, 0 to 1.
 	AdapterSlotWaitMS float64            `json:"placeMs"`  // Expected wait for an adapter slot.
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -56,6 +56,13 @@
 	return former.Limit != limit
 }
 
+// rateLimit returns the last observation of an endpoint's rate limit.
+func (e *endpointTracker) rateLimit(ep *catalog.Endpoint) ratelimit.Observation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stats(ep).rateLimitOf(ep)
+}
+
 // rateLimitOf returns the last observation of an incarnation's rate limit.
 func (s *endpointStats) rateLimitOf(ep *catalog.Endpoint) ratelimit.Observation {
 	if s.incarnation != ep.Incarnation {
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -99,15 +99,17 @@
 
 // requestGrant requests a grant from one engine's scheduler. If it is not granted,
 // requestGrant returns the expected wait. If the scheduler's last snapshot is stale and lists
-// the adapter as loaded, the request is sent without a grant.
+// the adapter as loaded, the request is sent without a grant, unless the engine names a rate
+// limit, which the scheduler counts.
 func (r *Router) requestGrant(q *request, endpoint *catalog.Endpoint, choice routing.Choice) (*placement, time.Duration) {
 	conn := r.schedulerConns.conn(endpoint.Address)
 	if conn == nil {
 		return nil, minRetryAfter
 	}
 	now := time.Now()
+	rateLimit := r.endpointTracker.rateLimit(endpoint)
 	if !conn.state(now).fresh {
-		if choice.Resident {
+		if choice.Resident && !rateLimit.Limit.Named {
 			return &placement{endpoint: endpoint}, 0 // The engine refuses the request if the adapter is no longer loaded.
 		}
 		return nil, minRetryAfter
@@ -122,6 +124,7 @@
 		Parts: q.call.PromptParts, PromptTokens: q.call.PromptTokens, OutputTokens: q.call.OutputTokens, Priority: q.priority(),
 		MaxWaitMS: maxWait.Milliseconds(), LatencyTargetMS: max(q.latencyTarget()-now.Sub(q.arrived), 0).Milliseconds(),
 		GapTargetMS: q.route.GapTarget.Milliseconds(), LoadMS: choice.ColdLoadTime.Milliseconds(),
+		RateLimit: schedulerapi.EncodeRateLimit(rateLimit, now),
 	})
 	q.trace.grantWait += time.Since(began)
 	if err != nil {
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -9,6 +9,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 )
 
 const (
@@ -49,6 +50,7 @@
 	endpointID   catalog.EndpointID                        // Registered ID of the engine's incarnation; "" if not known yet.
 	fencingToken int64                                     // Fencing token of the orders; 0 if not set yet.
 	failures     int                                       // Consecutive failed reports; used by the Serve loop only.
+	rateLimit    ratelimit.Limit                           // Last logged rate limit of the engine.
 
 	wake    chan struct{} // Wakes the Serve loop after a change.
 	changed *broadcast    // Notifies the snapshot streams of a change.
@@ -188,6 +190,7 @@
 func (e *Engine) update(change func(now time.Time)) {
 	e.mu.Lock()
 	change(time.Now())
+	e.logRateLimit()
 	for _, d := range e.machine.TakeDecisions() {
 		if waiter := e.waiters[d.ID]; waiter != nil {
 			delete(e.waiters, d.ID)
@@ -202,19 +205,33 @@
 	}
 }
 
+// logRateLimit logs a change of the engine's rate limit. The caller holds e.mu.
+func (e *Engine) logRateLimit() {
+	limit := e.machine.RateLimit()
+	if limit == e.rateLimit {
+		return
+	}
+	e.rateLimit = limit
+	e.log.WithFields(logrus.Fields{
+		"event": "endpoint_rate_limit", "endpoint": e.endpointID, "named": limit.Named, "per_second": limit.PerSecond,
+	}).Info("rate limit of the engine changed")
+}
+
 // RequestGrant requests a grant. The returned channel receives one decision. Release withdraws
 // the request or ends the grant.
 //
 // The router's view may be newer than the scheduler's. version is the adapter version in the
-// router's view, and id is the endpoint ID of the given incarnation.
+// router's view, id is the endpoint ID of the given incarnation, and limit is the rate limit in
+// the incarnation's last response to the router.
 func (e *Engine) RequestGrant(
-	request grants.Request, version int64, id catalog.EndpointID, incarnation int64,
+	request grants.Request, version int64, id catalog.EndpointID, incarnation int64, limit ratelimit.Observation,
 ) (grants.RequestID, <-chan grants.Decision) {
 	decision := make(chan grants.Decision, 1)
 	e.update(func(now time.Time) {
 		if incarnation != 0 && incarnation == e.machine.Incarnation() {
 			e.endpointID = id
 		}
+		e.machine.ObserveRateLimit(incarnation, limit)
 		e.machine.AnnounceVersion(request.Key, version, now)
 		e.lastGrantID++
 		request.ID = e.lastGrantID
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -43,7 +43,7 @@
 		LatencyTarget: time.Duration(req.LatencyTargetMS) * time.Millisecond,
 		GapTarget:     time.Duration(req.GapTargetMS) * time.Millisecond,
 		ColdLoadTime:  time.Duration(req.LoadMS) * time.Millisecond,
-	}, req.Version, catalog.EndpointID(req.EndpointID), req.Incarnation)
+	}, req.Version, catalog.EndpointID(req.EndpointID), req.Incarnation, req.RateLimit.Decode(time.Now()))
 	defer e.Release(id)
 	var d grants.Decision
 	select {
--- a/internal/schedulerapi/schedulerapi.go
+++ b/internal/schedulerapi/schedulerapi.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 )
 
 // Paths of the scheduler's calls.
@@ -34,11 +35,39 @@
 	MaxWaitMS       int64               `json:"patienceMs"` // Longest wait for the grant.
 	LatencyTargetMS int64               `json:"aimMs"`      // Time left until the first event is late; 0 if there is no target.
 	GapTargetMS     int64               `json:"gapAimMs"`   // Longest gap between events that is not late; 0 without a target.
+	// RateLimit is the rate limit in the engine's last response to the router; nil if the
+	// incarnation has not responded to it yet.
+	RateLimit *RateLimit `json:"rateLimit,omitempty"`
 	// LoadMS is the estimated time to load an adapter from the weight store. It accounts for
 	// the loads that already run; 0 if unknown.
 	LoadMS int64 `json:"loadMs"`
 }
 
+// RateLimit is the rate limit in a response of an endpoint. The time is relative, since the
+// clocks of VMs differ.
+type RateLimit struct {
+	Named     bool    `json:"named"`
+	PerSecond float64 `json:"perSecond"`
+	AgeMS     int64   `json:"ageMs"` // Time since the response.
+}
+
+// EncodeRateLimit returns an observation for a call made at now, or nil if there is none.
+func EncodeRateLimit(o ratelimit.Observation, now time.Time) *RateLimit {
+	if o.At.IsZero() {
+		return nil
+	}
+	return &RateLimit{Named: o.Limit.Named, PerSecond: o.Limit.PerSecond, AgeMS: now.Sub(o.At).Milliseconds()}
+}
+
+// Decode returns the observation in a call received at now. Nil is no observation.
+func (r *RateLimit) Decode(now time.Time) ratelimit.Observation {
+	if r == nil {
+		return ratelimit.Observation{}
+	}
+	age := time.Duration(max(r.AgeMS, 0)) * time.Millisecond
+	return ratelimit.Observation{Limit: ratelimit.Limit{Named: r.Named, PerSecond: r.PerSecond}, At: now.Add(-age)}
+}
+
 // GrantReply is the response to a GrantRequest. A grant lasts until the body of the response is
 // closed.
 type GrantReply struct {
