router: plain services stay within the rate limits that their endpoints name

Plain services have no scheduler that could count.

One router counts the requests to a limited endpoint, chosen by rendezvous hashing as a quota owner is; the others call it before each request, and not again before the wait that it returned has passed. A call without a response sends nothing, since the request may have been counted or not. A new owner admits nothing for 3 s, and a router that the others may not know yet counts for nobody. If no endpoint's limit permits a request, it is refused at once with the shortest wait of all.

--- a/internal/policy/ratelimit/limiter.go
+++ b/internal/policy/ratelimit/limiter.go
@@ -41,14 +41,18 @@
 // Limiter is a token bucket with the rate that an endpoint names. The zero value admits every
 // request. It is not safe for concurrent use.
 type Limiter struct {
-	share        float64 // Part of the named rate that this limiter admits; 0 stands for 1.
+	share        float64   // Part of the named rate that this limiter admits; 0 stands for 1.
+	notBefore    time.Time // Nothing is admitted earlier while a limit is named.
 	observations [numSources]Observation
 	balance      float64 // Requests.
 	refilledAt   time.Time
 }
 
-// NewLimiter returns a Limiter that admits a part of the named rate, above 0 and at most 1.
-func NewLimiter(share float64) *Limiter { return &Limiter{share: share} }
+// NewLimiter returns a Limiter that admits a part of the named rate, above 0 and at most 1, from
+// notBefore on.
+func NewLimiter(share float64, notBefore time.Time) *Limiter {
+	return &Limiter{share: share, notBefore: notBefore}
+}
 
 // Observe merges an observation. It ignores one that is older than the last one of its source.
 func (l *Limiter) Observe(s Source, o Observation) {
@@ -81,7 +85,7 @@
 		return true
 	}
 	l.refill(now)
-	if l.balance < 1 {
+	if l.balance < 1 || now.Before(l.notBefore) {
 		return false
 	}
 	l.balance--
@@ -95,11 +99,11 @@
 		return 0
 	}
 	l.refill(now)
-	missing := float64(ahead) + 1 - l.balance
-	if missing <= 0 {
-		return 0
+	wait := max(l.notBefore.Sub(now), 0)
+	if missing := float64(ahead) + 1 - l.balance; missing > 0 {
+		wait = max(wait, time.Duration(math.Ceil(missing/l.perSecond()*float64(time.Second))))
 	}
-	return time.Duration(math.Ceil(missing / l.perSecond() * float64(time.Second)))
+	return wait
 }
 
 // perSecond returns the admitted rate. A limit is in force.
--- a/internal/quota/peers.go
+++ b/internal/quota/peers.go
@@ -61,9 +61,10 @@
 	client *http.Client
 	log    *logrus.Entry
 
-	mu      sync.Mutex
-	byVM    map[string]*peer // Without this router.
-	leaving bool             // This router drains and owns no quotas.
+	mu           sync.Mutex
+	byVM         map[string]*peer // Without this router.
+	leaving      bool             // This router drains and owns no quotas.
+	registeredAt time.Time        // First registration of this router; zero before.
 }
 
 // NewPeers returns an empty Peers for the router on the VM self.
@@ -168,29 +169,86 @@
 // owners returns the reachable routers in the order in which they own an organisation's quota.
 // The empty Peer stands for this router.
 func (p *Peers) owners(organisation string, now time.Time) []Peer {
+	var out []Peer
+	for _, c := range p.ranking(organisation, now) {
+		if c.reachable {
+			out = append(out, c.Peer)
+		}
+	}
+	return out
+}
+
+// candidate is a router in a ranking. The empty Peer stands for this router.
+type candidate struct {
+	Peer
+	reachable bool
+	score     uint64
+}
+
+// ranking returns the known routers by their rendezvous score for a key, highest first.
+func (p *Peers) ranking(key string, now time.Time) []candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	type scored struct {
-		Peer
-		score uint64
-	}
-	key := rendezvous.Hash(organisation)
-	scoreOf := func(vm string) uint64 { return rendezvous.Score(key, rendezvous.Hash(vm)) }
-	var list []scored
+	hash := rendezvous.Hash(key)
+	scoreOf := func(vm string) uint64 { return rendezvous.Score(hash, rendezvous.Hash(vm)) }
+	var list []candidate
 	if !p.leaving || len(p.byVM) == 0 {
-		list = append(list, scored{Peer{}, scoreOf(p.self)})
+		list = append(list, candidate{Peer{}, true, scoreOf(p.self)})
 	}
 	for vm, other := range p.byVM {
-		if now.After(other.unreachableUntil) {
-			list = append(list, scored{other.Peer, scoreOf(vm)})
+		list = append(list, candidate{other.Peer, now.After(other.unreachableUntil), scoreOf(vm)})
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
+	return list
+}
+
+// endpointCounter is the router that counts the requests to an endpoint for this router.
+type endpointCounter struct {
+	Peer
+	role string // "" if no router may count them.
+}
+
+// endpointCounter returns the router that counts the requests to an endpoint: the first one in
+// the ranking or, if that is unreachable, the second one. With more than two, the routers'
+// shares of the limit could add up to more than the limit permits. A router that the others may
+// not know yet is not in its own ranking.
+func (p *Peers) endpointCounter(key string, now time.Time) endpointCounter {
+	if p.Isolated(now) {
+		return endpointCounter{role: roleIsolated}
+	}
+	ranking := p.ranking(key, now)
+	if now.Before(p.knownFrom(now)) {
+		ranking = slices.DeleteFunc(ranking, func(c candidate) bool { return c.VM == "" })
+	}
+	for i, role := range []string{roleOwner, roleStandby} {
+		if i < len(ranking) && ranking[i].reachable {
+			return endpointCounter{ranking[i].Peer, role}
 		}
 	}
-	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	out := make([]Peer, 0, len(list))
-	for _, s := range list {
-		out = append(out, s.Peer)
+	return endpointCounter{}
+}
+
+// MarkRegistered records that this router is registered, so that the others find it.
+func (p *Peers) MarkRegistered(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.registeredAt.IsZero() {
+		p.registeredAt = now
+	}
+}
+
+// knownFrom returns the time from which the other routers know this one.
+func (p *Peers) knownFrom(now time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case len(p.byVM) == 0:
+		return now
+	case p.registeredAt.IsZero():
+		return now.Add(ownerHandover)
+	default:
+		return p.registeredAt.Add(ownerHandover)
 	}
-	return out
 }
 
 // Leave excludes this router from quota ownership.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -87,6 +87,7 @@
 type testRouter struct {
 	peers  *Peers
 	ledger *Ledger
+	limits *EndpointLimits
 	server *httptest.Server
 }
 
@@ -102,8 +103,10 @@
 	for _, name := range names {
 		r := &testRouter{peers: NewPeers(name, &http.Transport{}, logrus.NewEntry(log))}
 		r.ledger = NewLedger(r.peers, func() *catalog.View { return view }, logrus.NewEntry(log))
+		r.limits = NewEndpointLimits(r.peers, logrus.NewEntry(log))
 		mux := chi.NewRouter()
 		r.ledger.Mount(mux)
+		r.limits.Mount(mux)
 		r.server = httptest.NewServer(mux)
 		t.Cleanup(r.server.Close)
 		all[name] = r
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -15,6 +15,7 @@
 	duration    tally.Histogram
 	grantWait   tally.Histogram
 	connections tally.Counter
+	rateLimited tally.Counter // Plain endpoints left out for a request because of their rate limits.
 }
 
 // latencyBuckets are the histogram bounds, from a short lookup to the longest stream.
@@ -31,6 +32,7 @@
 		duration:    scope.Histogram("request_seconds", latencyBuckets),
 		grantWait:   scope.Histogram("turn_wait_seconds", latencyBuckets),
 		connections: scope.Counter("endpoint_connections_total"),
+		rateLimited: scope.Counter("endpoint_rate_limited_total"),
 	}
 }
 
--- a/internal/router/registrar.go
+++ b/internal/router/registrar.go
@@ -28,6 +28,7 @@
 	store        *platform.StoreClient
 	registration platform.RouterRegistration
 	log          *logrus.Entry
+	onRegistered func()         // Called after each registration.
 	lease        platform.Lease // Lease of the registration; zero if there is none.
 	revision     int64          // Revision of the registration in the store.
 }
@@ -77,5 +78,6 @@
 		return err
 	}
 	g.lease, g.revision = lease, revision
+	g.onRegistered()
 	return nil
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -64,6 +64,7 @@
 	endpointTracker *endpointTracker
 	peers           *quota.Peers
 	quota           *quota.Ledger
+	endpointLimits  *quota.EndpointLimits
 	crashTracker    *crashTracker
 	budgets         *retryBudgets
 	streamLengths   *streamLengths
@@ -90,6 +91,7 @@
 	r.schedulerConns = newSchedulerConns(s.SchedulerPort, transport, log)
 	r.peers = quota.NewPeers(s.VM, schedulerapi.NewTransport(), log)
 	r.quota = quota.NewLedger(r.peers, r.state.View, log)
+	r.endpointLimits = quota.NewEndpointLimits(r.peers, log)
 	r.crashTracker = newCrashTracker(r.peers, log)
 	r.budgets = newRetryBudgets(s.RetryRatio, s.RetryBurst, r.peers.Count)
 	return r
@@ -132,7 +134,10 @@
 		serveCtx, cancel := context.WithCancel(runCtx)
 		defer cancel()
 		defer context.AfterFunc(registrationCtx, cancel)()
-		err := (&registrar{store: r.store, registration: registration, log: r.log}).Serve(serveCtx)
+		err := (&registrar{
+			store: r.store, registration: registration, log: r.log,
+			onRegistered: func() { r.peers.MarkRegistered(time.Now()) },
+		}).Serve(serveCtx)
 		if registrationCtx.Err() != nil {
 			return suture.ErrDoNotRestart
 		}
@@ -183,6 +188,7 @@
 			r.endpointTracker.sync(v)
 		case now := <-sweep.C:
 			r.pool.CloseExpired(now)
+			r.endpointLimits.Prune(r.state.View(), now)
 		}
 	}
 }
@@ -215,6 +221,7 @@
 func (r *Router) peersHandler() http.Handler {
 	router := chi.NewRouter()
 	r.quota.Mount(router)
+	r.endpointLimits.Mount(router)
 	r.crashTracker.mount(router)
 	return router
 }
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -82,6 +82,7 @@
 		log.WithFields(logrus.Fields{
 			"event": "endpoint_rate_limit", "named": limit.Named, "per_second": limit.PerSecond, "service": endpoint.Service,
 		}).Info("rate limit of an endpoint changed")
+		r.endpointLimits.SetNamed(endpoint, limit.Named, time.Now())
 	}
 }
 
