ratelimit: a limit that is named again keeps its balance

An endpoint that withdrew its limit and named it again at once got one request more each time, since the limiter began anew. It now continues with the balance and what has accrued since. TestLimitNamedAgainKeepsBalance admitted 40 requests in 1 s at 1 a second before, and 1 now.

--- a/internal/policy/ratelimit/limiter.go
+++ b/internal/policy/ratelimit/limiter.go
@@ -44,8 +44,8 @@
 	share        float64   // Part of the named rate that this limiter admits; 0 stands for 1.
 	notBefore    time.Time // Nothing is admitted earlier while a limit is named.
 	observations [numSources]Observation
-	balance      float64 // Requests.
-	refilledAt   time.Time
+	balance      float64   // Requests.
+	refilledAt   time.Time // Time of the last refill; zero before a limit is first named.
 }
 
 // NewLimiter returns a Limiter that admits a part of the named rate, above 0 and at most 1, from
@@ -59,12 +59,12 @@
 	if o.At.IsZero() || o.At.Before(l.observations[s].At) {
 		return
 	}
-	wasNamed := l.Limit().Named
 	l.refill(o.At)
 	l.observations[s] = o
-	if !wasNamed && l.Limit().Named {
+	if l.refilledAt.IsZero() && l.Limit().Named {
 		l.balance, l.refilledAt = 1, o.At
 	}
+	l.refill(o.At)
 	l.balance = min(l.balance, l.burst())
 }
 
--- a/internal/policy/ratelimit/limiter_test.go
+++ b/internal/policy/ratelimit/limiter_test.go
@@ -88,3 +88,21 @@
 		t.Error("request at 4 s refused, want it admitted")
 	}
 }
+
+// An endpoint that withdraws its limit and names it again at once must not get a further request
+// each time.
+func TestLimitNamedAgainKeepsBalance(t *testing.T) {
+	l := &Limiter{}
+	admitted := 0
+	for i := range 40 {
+		now := start.Add(time.Duration(i) * 25 * time.Millisecond)
+		l.Observe(FromResponse, Observation{Limit: named(1), At: now})
+		if l.Take(now) {
+			admitted++
+		}
+		l.Observe(FromResponse, Observation{At: now})
+	}
+	if admitted != 1 {
+		t.Errorf("requests admitted in 1 s at 1/s = %d, want 1", admitted)
+	}
+}
