quota: a new owner admits nothing before the former one has stopped counting

An organisation could exceed its rate: a call to the quota owner that outlasted its timeout let the next router count beside it, with a balance of its own (TestRoutersShareOneBucket, listed since it failed once beside load).

Cause: a router that could not fetch the balance began with a quarter of a second of the rate, whether the former owner had ended, had handed the balance over in a response that was lost, or still counted. The former owner was also sought among the reachable routers only, which leaves out just the one that timed out.

Three routers are now candidates for the ownership of an organisation's quota. A new owner asks the other two for their balances and admits nothing until each has responded, has refused the connection (its process has ended), or has been silent for 1 s and most routers do not reach it either; then its balance counts as lost. A bucket that was handed over leaves its debt behind for repeated calls. An owner that was isolated or suspended takes the balance over again before it counts. Requests are refused meanwhile, at once.

Ruled out: a fixed part of the rate for a second router (lost while the owner is away, or a second call for each refused request), and leases of the ownership (renewals between all routers).

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -20,6 +20,8 @@
 	PathTake     = "/quota/take"
 	PathReturn   = "/quota/return"
 	PathTransfer = "/quota/surrender"
+	// PathReachable asks whether a router reaches another one.
+	PathReachable = "/reachable"
 )
 
 const (
@@ -47,12 +49,24 @@
 }
 
 // transferReply is the response to a transfer call. Known is false if the router has no bucket
-// for the organisation.
+// for the organisation and has handed over none within surrenderRetention. Held means that
+// Balance is that of its bucket.
 type transferReply struct {
 	Known   bool    `json:"known"`
+	Held    bool    `json:"held"`
 	Balance float64 `json:"balance"`
 }
 
+// reachableRequest and reachableReply are the bodies of the call that asks whether a router
+// reaches another one.
+type reachableRequest struct {
+	VM string `json:"vm"`
+}
+
+type reachableReply struct {
+	Reachable bool `json:"reachable"`
+}
+
 // Decision reports whether a request is within its organisation's quota.
 type Decision struct {
 	Admitted   bool
@@ -68,21 +82,18 @@
 	view  func() *catalog.View // Returns the current catalog view.
 	log   *logrus.Entry
 
-	mu       sync.Mutex
-	buckets  map[string]*ownedBucket // Quotas that this router owns, by organisation.
-	isolated map[string]*Bucket      // Buckets used while this router is isolated, by organisation.
-}
-
-// ownedBucket is the bucket of a quota that this router owns. ready is closed once the first
-// balance is set.
-type ownedBucket struct {
-	bucket *Bucket
-	ready  chan struct{}
+	mu          sync.Mutex
+	buckets     map[string]*ownedBucket // Quotas that this router owns, by organisation.
+	isolated    map[string]*Bucket      // Buckets used while this router is isolated, by organisation.
+	surrendered map[string]surrender    // Last handover of a bucket to another router, by organisation.
 }
 
 // NewLedger returns a Ledger that owns no quotas yet.
 func NewLedger(peers *Peers, view func() *catalog.View, log *logrus.Entry) *Ledger {
-	return &Ledger{peers: peers, view: view, log: log, buckets: make(map[string]*ownedBucket), isolated: make(map[string]*Bucket)}
+	return &Ledger{
+		peers: peers, view: view, log: log, buckets: make(map[string]*ownedBucket),
+		isolated: make(map[string]*Bucket), surrendered: make(map[string]surrender),
+	}
 }
 
 // Take takes units from the quota of an organisation with a limited rate. It calls the quota
@@ -151,57 +162,17 @@
 // takeLocal takes units from a bucket that this router owns.
 func (l *Ledger) takeLocal(ctx context.Context, o *catalog.Organisation, units float64) (bool, time.Duration) {
 	owned := l.ownedBucket(ctx, o)
-	<-owned.ready
+	owned.waitReady()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !owned.settled || l.buckets[o.Name] != owned {
+		return false, transferRetryInterval
+	}
 	now := time.Now()
 	owned.bucket.SetLimit(o.Rate, o.Burst, now)
 	return owned.bucket.Take(units, now)
 }
 
-// ownedBucket returns the bucket of an organisation. The first call creates it and fetches the
-// balance from the previous owner. Callers wait for ready before they use the bucket.
-func (l *Ledger) ownedBucket(ctx context.Context, o *catalog.Organisation) *ownedBucket {
-	l.mu.Lock()
-	owned := l.buckets[o.Name]
-	if owned != nil {
-		l.mu.Unlock()
-		return owned
-	}
-	now := time.Now()
-	owned = &ownedBucket{ready: make(chan struct{}), bucket: NewBucket(o.Rate, o.Burst, initialBalanceSeconds*o.Rate, now)}
-	l.buckets[o.Name] = owned
-	l.mu.Unlock()
-	defer close(owned.ready)
-	balance, inherited := l.fetchBalance(ctx, o.Name)
-	l.log.WithFields(logrus.Fields{
-		"event": "quota_home", "organisation": o.Name, "inherited": inherited, "balance": balance,
-	}).Info("this router became the quota owner")
-	if inherited {
-		l.mu.Lock()
-		owned.bucket = NewBucket(o.Rate, o.Burst, balance, time.Now())
-		l.mu.Unlock()
-	}
-	return owned
-}
-
-// fetchBalance takes over the balance from the previous quota owner. It returns false if that
-// router does not respond or has no bucket.
-func (l *Ledger) fetchBalance(ctx context.Context, organisation string) (float64, bool) {
-	for _, owner := range l.peers.owners(organisation, time.Now()) {
-		if owner.VM == "" {
-			continue
-		}
-		var reply transferReply
-		if err := l.peers.call(ctx, owner, PathTransfer, quotaRequest{Organisation: organisation}, &reply); err != nil {
-			l.log.WithError(err).WithField("peer", owner.VM).Info("quota balance not received from the previous owner")
-			return 0, false
-		}
-		return reply.Balance, reply.Known
-	}
-	return 0, false
-}
-
 // returnLocal returns units to a bucket if this router owns it.
 func (l *Ledger) returnLocal(organisation string, units float64) {
 	l.mu.Lock()
@@ -211,19 +182,6 @@
 	}
 }
 
-// transfer drops the bucket of an organisation and returns its balance for the new quota
-// owner.
-func (l *Ledger) transfer(organisation string) transferReply {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	owned := l.buckets[organisation]
-	if owned == nil {
-		return transferReply{}
-	}
-	delete(l.buckets, organisation)
-	return transferReply{Known: true, Balance: owned.bucket.TakeAll(time.Now())}
-}
-
 // Mount adds the handlers for the calls of other routers to r.
 func (l *Ledger) Mount(r chi.Router) {
 	r.Post(PathPing, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
@@ -247,6 +205,12 @@
 			l.returnLocal(req.Organisation, req.Units)
 		}
 	})
+	r.Post(PathReachable, func(w http.ResponseWriter, httpReq *http.Request) {
+		var req reachableRequest
+		if schedulerapi.DecodeRequest(w, httpReq, schedulerapi.MaxPeerCallBytes, &req) {
+			writeJSON(w, reachableReply{Reachable: l.peers.checkReachable(httpReq.Context(), req.VM)})
+		}
+	})
 	r.Post(PathTransfer, func(w http.ResponseWriter, httpReq *http.Request) {
 		var req quotaRequest
 		if schedulerapi.DecodeRequest(w, httpReq, schedulerapi.MaxPeerCallBytes, &req) {
--- a/internal/quota/peers.go
+++ b/internal/quota/peers.go
@@ -25,6 +25,8 @@
 	// number of pings per router does not depend on the number of routers.
 	pingInterval = 400 * time.Millisecond
 	pingPeers    = 5
+	// maxPingGap is the time between two rounds of pings above which this router was suspended.
+	maxPingGap = pingInterval + takeoverDelay/2
 	// unreachableDuration is how long a router that did not respond is not selected as a quota
 	// owner.
 	unreachableDuration = 1500 * time.Millisecond
@@ -61,10 +63,11 @@
 	client *http.Client
 	log    *logrus.Entry
 
-	mu           sync.Mutex
-	byVM         map[string]*peer // Without this router.
-	leaving      bool             // This router drains and owns no quotas.
-	registeredAt time.Time        // First registration of this router; zero before.
+	mu            sync.Mutex
+	byVM          map[string]*peer // Without this router.
+	leaving       bool             // This router drains and owns no quotas.
+	registeredAt  time.Time        // First registration of this router; zero before.
+	interruptedAt time.Time        // Last time at which this router was isolated or resumed from a suspension.
 }
 
 // NewPeers returns an empty Peers for the router on the VM self.
@@ -102,9 +105,13 @@
 // Serve pings random routers until ctx ends. It implements suture.Service.
 func (p *Peers) Serve(ctx context.Context) error {
 	for {
+		began := time.Now().Round(0) // Only the wall clock counts the time of a suspension.
 		if err := sleep.For(ctx, pingInterval); err != nil {
 			return err
 		}
+		if now := time.Now(); now.Round(0).Sub(began) > maxPingGap {
+			p.markInterrupted(now)
+		}
 		for _, target := range p.sample(pingPeers) {
 			go func() {
 				// call records the failure, and Isolated and owners use the record.
@@ -148,6 +155,20 @@
 	return len(p.byVM) + 1
 }
 
+// markInterrupted records that other routers may have replaced this one as an owner.
+func (p *Peers) markInterrupted(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.interruptedAt = now
+}
+
+// interruptedSince reports whether this router was isolated or resumed from a suspension after t.
+func (p *Peers) interruptedSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.interruptedAt.After(t)
+}
+
 // Isolated reports whether more than half of the recently called routers did not respond. It
 // returns false if fewer than minTriedPeers were called, or fewer than all if there are fewer.
 func (p *Peers) Isolated(now time.Time) bool {
@@ -163,14 +184,22 @@
 			silent++
 		}
 	}
-	return tried >= min(minTriedPeers, len(p.byVM)) && 2*silent > tried
+	isolated := tried >= min(minTriedPeers, len(p.byVM)) && 2*silent > tried
+	if isolated {
+		p.interruptedAt = now
+	}
+	return isolated
 }
 
-// owners returns the reachable routers in the order in which they own an organisation's quota.
-// The empty Peer stands for this router.
+// maxCandidates is the number of routers that may own an organisation's quota. A new owner asks
+// the others of them for their balances.
+const maxCandidates = 3
+
+// owners returns the reachable candidates for the ownership of an organisation's quota, in the
+// order in which they own it. The empty Peer stands for this router.
 func (p *Peers) owners(organisation string, now time.Time) []Peer {
 	var out []Peer
-	for _, c := range p.ranking(organisation, now) {
+	for _, c := range p.candidates(organisation, now) {
 		if c.reachable {
 			out = append(out, c.Peer)
 		}
@@ -178,6 +207,23 @@
 	return out
 }
 
+// otherCandidates returns the candidates for the ownership of an organisation's quota, also
+// unreachable ones, without this router.
+func (p *Peers) otherCandidates(organisation string) []Peer {
+	var out []Peer
+	for _, c := range p.candidates(organisation, time.Now()) {
+		if c.VM != "" {
+			out = append(out, c.Peer)
+		}
+	}
+	return out
+}
+
+func (p *Peers) candidates(organisation string, now time.Time) []candidate {
+	ranking := p.ranking(organisation, now)
+	return ranking[:min(len(ranking), maxCandidates)]
+}
+
 // candidate is a router in a ranking. The empty Peer stands for this router.
 type candidate struct {
 	Peer
@@ -251,6 +297,45 @@
 	}
 }
 
+// mostDoNotReach asks all routers but one whether they reach that one, and reports whether most
+// of those, this router included, do not.
+func (p *Peers) mostDoNotReach(ctx context.Context, vm string) bool {
+	voters := slices.DeleteFunc(p.sample(p.Count()), func(other Peer) bool { return other.VM == vm })
+	unreachable := make(chan bool, len(voters))
+	for _, voter := range voters {
+		go func() {
+			var reply reachableReply
+			err := p.call(ctx, voter, PathReachable, reachableRequest{VM: vm}, &reply)
+			unreachable <- err == nil && !reply.Reachable
+		}()
+	}
+	votes := 1 // This router's own.
+	for range voters {
+		if <-unreachable {
+			votes++
+		}
+	}
+	return 2*votes > len(voters)+1
+}
+
+// checkReachable reports whether the last call to a router succeeded, and pings the router for
+// the next check.
+func (p *Peers) checkReachable(ctx context.Context, vm string) bool {
+	p.mu.Lock()
+	other := p.byVM[vm]
+	if other == nil {
+		p.mu.Unlock()
+		return false
+	}
+	target, reachable := other.Peer, time.Now().After(other.unreachableUntil)
+	p.mu.Unlock()
+	go func() {
+		// call records the failure for the next check.
+		_ = p.call(context.WithoutCancel(ctx), target, PathPing, nil, nil)
+	}()
+	return reachable
+}
+
 // Leave excludes this router from quota ownership.
 func (p *Peers) Leave() {
 	p.mu.Lock()
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,6 +91,18 @@
 	ledger *Ledger
 	limits *EndpointLimits
 	server *httptest.Server
+	delay  atomic.Int64 // Delay of the responses to calls, which are handled at once; nanoseconds.
+}
+
+// delayResponses handles a call at once and delays the response.
+func (r *testRouter) delayResponses(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		recorder := httptest.NewRecorder()
+		next.ServeHTTP(recorder, req)
+		time.Sleep(time.Duration(r.delay.Load()))
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	})
 }
 
 // newRouters starts one router per name and adds each to the peers of all others.
@@ -105,6 +119,7 @@
 		r.ledger = NewLedger(r.peers, func() *catalog.View { return view }, logrus.NewEntry(log))
 		r.limits = NewEndpointLimits(r.peers, logrus.NewEntry(log))
 		mux := chi.NewRouter()
+		mux.Use(r.delayResponses)
 		r.ledger.Mount(mux)
 		r.limits.Mount(mux)
 		r.server = httptest.NewServer(mux)
@@ -206,3 +221,93 @@
 		r.peers.mu.Unlock()
 	}
 }
+
+// takeFromAll takes units from all routers until duration has passed, concurrently, and returns the
+// number of admitted requests.
+func takeFromAll(all map[string]*testRouter, o *catalog.Organisation, units float64, duration time.Duration) int {
+	var admitted atomic.Int64
+	var takers sync.WaitGroup
+	for _, r := range all {
+		takers.Go(func() {
+			for began := time.Now(); time.Since(began) < duration; time.Sleep(time.Millisecond) {
+				if r.ledger.Take(context.Background(), o, units).Admitted {
+					admitted.Add(1)
+				}
+			}
+		})
+	}
+	takers.Wait()
+	return int(admitted.Load())
+}
+
+// A quota owner handles calls but responds after their timeout. The next router must not count
+// beside it: together they stay within rate and burst.
+func TestQuotaHoldsIfOwnerRespondsLate(t *testing.T) {
+	o := &catalog.Organisation{Name: "smithy", Rate: 1000, Burst: 500}
+	all := newRouters(t, o, "r1", "r2", "r3")
+	owner := all["r1"].peers.owners(o.Name, time.Now())[0].VM
+	if owner == "" {
+		owner = "r1"
+	}
+	all[owner].delay.Store(int64(2 * callTimeout))
+	began := time.Now()
+	admitted := takeFromAll(all, o, 100, 3*time.Second)
+	limit := int(o.Burst+o.Rate*time.Since(began).Seconds())/100 + 1
+	if admitted == 0 || admitted > limit {
+		t.Errorf("routers admitted %d requests of 100 units, want 1 to %d", admitted, limit)
+	}
+}
+
+// An owner that was cut off or suspended may have been replaced. It must take the balance over
+// again before it counts, so that no two routers count at the same time.
+func TestInterruptedOwnerTakesBalanceOver(t *testing.T) {
+	o := &catalog.Organisation{Name: "smithy", Rate: 1, Burst: 1000}
+	all := newRouters(t, o, "r1", "r2", "r3")
+	ctx := context.Background()
+	owner := all[all["r1"].peers.owners(o.Name, time.Now())[0].VM]
+	if owner == nil {
+		owner = all["r1"]
+	}
+	other := all[owner.peers.otherCandidates(o.Name)[0].VM]
+	owner.ledger.buckets[o.Name] = &ownedBucket{
+		bucket: NewBucket(o.Rate, o.Burst, 1000, time.Now()), ready: closedChannel(), settled: true, since: time.Now(),
+	}
+	other.ledger.buckets[o.Name] = &ownedBucket{
+		bucket: NewBucket(o.Rate, o.Burst, 100, time.Now()), ready: closedChannel(), settled: true, since: time.Now(),
+	}
+	owner.peers.markInterrupted(time.Now())
+	if owner.ledger.Take(ctx, o, 600).Admitted && owner.ledger.Take(ctx, o, 600).Admitted {
+		t.Error("interrupted owner admitted 1,200 units, want at most one request beyond the other router's balance of 100")
+	}
+	other.ledger.mu.Lock()
+	defer other.ledger.mu.Unlock()
+	if other.ledger.buckets[o.Name] != nil {
+		t.Error("the other router still has a bucket, want it handed over")
+	}
+}
+
+func closedChannel() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
+// A candidate that handed its bucket over before must not hide the balance of the one that holds
+// the bucket now.
+func TestBalanceOfHolderIsInherited(t *testing.T) {
+	o := &catalog.Organisation{Name: "smithy", Rate: 1, Burst: 1000}
+	all := newRouters(t, o, "r1", "r2", "r3")
+	owner := all[all["r1"].peers.owners(o.Name, time.Now())[0].VM]
+	if owner == nil {
+		owner = all["r1"]
+	}
+	candidates := owner.peers.otherCandidates(o.Name)
+	holder, former := all[candidates[0].VM].ledger, all[candidates[1].VM].ledger
+	holder.buckets[o.Name] = &ownedBucket{
+		bucket: NewBucket(o.Rate, o.Burst, 900, time.Now()), ready: closedChannel(), settled: true, since: time.Now(),
+	}
+	former.surrendered[o.Name] = surrender{at: time.Now()}
+	if d := owner.ledger.Take(context.Background(), o, 600); !d.Admitted {
+		t.Errorf("Take() of 600 units = %+v, want it admitted: the holder handed 900 over", d)
+	}
+}
