router: an endpoint that says it drains in a response gets no further requests

An endpoint that said in all its responses that it drains, while the registry still listed it as ready, went on to get requests: 49 (plain service) and 32 (engine) in the 2 s after the bound, want none.

Cause: as for rate limits, a signal of an endpoint that nothing acted on. Routers now leave an endpoint out from the first such response on, also after a grant that was waited for, until its next incarnation.

--- a/internal/policy/grants/machine.go
+++ b/internal/policy/grants/machine.go
@@ -57,6 +57,7 @@
 	limits           Limits
 	announced        map[catalog.AdapterKey]int64 // Newest announced versions.
 	alive            bool
+	draining         bool // Stays set until the next incarnation.
 	incarnation      int64
 	sequence         int64
 	busy             bool
@@ -145,8 +146,16 @@
 func (m *Machine) MarkUnreachable(now time.Time) {
 	m.alive = false
 	m.needsReport = true
+	m.refuseQueue(RefusalEngineUnreachable, now)
+}
+
+// Draining reports whether the engine takes no new requests.
+func (m *Machine) Draining() bool { return m.draining }
+
+// refuseQueue refuses all queued requests.
+func (m *Machine) refuseQueue(reason Refusal, now time.Time) {
 	for _, q := range m.queue {
-		m.decisions = append(m.decisions, Decision{ID: q.request.ID, Refusal: RefusalEngineUnreachable, Waited: now.Sub(q.queuedAt)})
+		m.refuseQueued(q, reason, 0, now)
 	}
 	m.queue = nil
 }
@@ -163,6 +172,10 @@
 	}
 	m.sequence, m.busy, m.models = r.Sequence, r.Busy, r.Models
 	m.rate.Observe(ratelimit.FromReport, ratelimit.Observation{Limit: r.RateLimit, At: now})
+	if r.Draining {
+		m.draining = true
+		m.refuseQueue(RefusalDraining, now)
+	}
 	m.syncAdapters(r, now)
 	m.recordProgress(r.Runs, now)
 	m.processQueue(now)
@@ -220,6 +233,7 @@
 	m.prefills.clear()
 	m.lateEvents = lateEvents{}
 	m.rate = ratelimit.Limiter{}
+	m.draining = false
 	for _, g := range m.grants {
 		m.grantedTokens -= g.request.PromptTokens + g.request.MaxOutputTokens
 	}
@@ -400,6 +414,8 @@
 	switch {
 	case !m.alive:
 		return 0, RefusalEngineUnreachable
+	case m.draining:
+		return 0, RefusalDraining
 	case !slices.Contains(m.models, r.Key.Model) && len(m.models) > 0 && !m.modelFits(r.Key.Model):
 		return 0, RefusalModelNotResident
 	}
@@ -504,7 +520,7 @@
 func (m *Machine) Snapshot(now time.Time) Snapshot {
 	m.prefills.advance(now)
 	s := Snapshot{
-		Alive: m.alive, Incarnation: m.incarnation, Models: slices.Clone(m.models),
+		Alive: m.alive, Draining: m.draining, Incarnation: m.incarnation, Models: slices.Clone(m.models),
 		IdleAdapterSlots: max(0, m.idleAdapterSlots()-m.awaitedAdapters()),
 		Slowdown:         m.prefills.slowdown, LateEventRate: m.lateEvents.currentRate(now),
 		// The key matches no adapter, so the wait is that of an adapter without a slot.
--- a/internal/policy/grants/machine_test.go
+++ b/internal/policy/grants/machine_test.go
@@ -500,3 +500,32 @@
 		t.Errorf("rate wait of the next incarnation = %d ms, want 0", s.RateWaitMS)
 	}
 }
+
+// An engine that says in a report that it drains gets no further grants in this incarnation, also
+// if later reports do not say so. Queued requests are refused at once.
+func TestDrainingEngineGetsNoGrants(t *testing.T) {
+	m := newTestMachine(2)
+	request := func(id RequestID, key catalog.AdapterKey, now time.Time) Refusal {
+		m.RequestGrant(Request{ID: id, Key: key, PromptTokens: 10}, now)
+		decisions := m.TakeDecisions()
+		if len(decisions) == 0 {
+			return RefusalNone
+		}
+		return decisions[0].Refusal
+	}
+	if refusal := request(1, adapterKey(1), at(10)); refusal != RefusalNone {
+		t.Fatalf("request before the engine drains: refusal = %q, want it queued for the adapter", refusal)
+	}
+	m.ApplyReport(Report{Incarnation: 7, Models: []string{"base"}, Draining: true}, at(20))
+	if d := m.TakeDecisions(); len(d) != 1 || d[0].Refusal != RefusalDraining {
+		t.Errorf("decisions on the queued request = %+v, want a refusal with %q", d, RefusalDraining)
+	}
+	m.ApplyReport(Report{Incarnation: 7, Models: []string{"base"}}, at(30))
+	if refusal := request(2, catalog.AdapterKey{Model: "base"}, at(40)); refusal != RefusalDraining || !m.Snapshot(at(40)).Draining {
+		t.Errorf("request to the draining engine: refusal = %q, want %q", refusal, RefusalDraining)
+	}
+	m.ApplyReport(Report{Incarnation: 8, Models: []string{"base"}}, at(50))
+	if refusal := request(3, catalog.AdapterKey{Model: "base"}, at(60)); refusal != RefusalNone || m.Snapshot(at(60)).Draining {
+		t.Errorf("request to the next incarnation: refusal = %q, want a grant", refusal)
+	}
+}
--- a/internal/policy/grants/types.go
+++ b/internal/policy/grants/types.go
@@ -23,6 +23,7 @@
 	Loading     []Build // Adapters that the engine is loading.
 	Runs        []Run   // Requests that have produced at least one event.
 	RateLimit   ratelimit.Limit
+	Draining    bool // The engine takes no new requests.
 }
 
 // Run is the progress of one request on an engine.
@@ -96,6 +97,7 @@
 	RefusalModelNotResident  Refusal = "model_not_resident" // The engine does not hold the model.
 	RefusalVersionReplaced   Refusal = "version_replaced"   // The adapter drains for its next version.
 	RefusalEngineUnreachable Refusal = "engine_lost"        // The engine does not respond.
+	RefusalDraining          Refusal = "engine_draining"    // The engine takes no new requests.
 	RefusalRateLimited       Refusal = "engine_rate_limit"  // It would exceed the rate limit that the engine names.
 )
 
@@ -171,6 +173,7 @@
 // Snapshot is the state of an engine that routers receive.
 type Snapshot struct {
 	Alive             bool               `json:"alive"`
+	Draining          bool               `json:"draining"` // The engine takes no new requests.
 	Incarnation       int64              `json:"born"`
 	Models            []string           `json:"models"`
 	Adapters          []AdapterState     `json:"adapters"`
--- a/internal/policy/routing/engines.go
+++ b/internal/policy/routing/engines.go
@@ -179,7 +179,7 @@
 }
 
 func servesModel(e Engine, model string) bool {
-	if e.SnapshotFresh && !e.Snapshot.Alive {
+	if e.SnapshotFresh && (!e.Snapshot.Alive || e.Snapshot.Draining) {
 		return false
 	}
 	return model == "" || len(e.Snapshot.Models) == 0 || slices.Contains(e.Snapshot.Models, model)
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -11,10 +11,21 @@
 
 // endpointTracker keeps the health and the load of each endpoint as this router observes them.
 type endpointTracker struct {
-	mu   sync.Mutex
-	byID map[catalog.EndpointID]*endpointStats
+	mu       sync.Mutex
+	byID     map[catalog.EndpointID]*endpointStats
+	draining map[catalog.EndpointID]drainingEndpoint // Endpoints that said in a response that they drain.
 }
 
+// drainingEndpoint is an incarnation that drains, and when a response said so last.
+type drainingEndpoint struct {
+	incarnation int64
+	at          time.Time
+}
+
+// drainingRetention is how long an endpoint that drains is remembered after its last response. It
+// exceeds the time for which endpoints serve on after they started to drain.
+const drainingRetention = 10 * time.Minute
+
 // endpointStats is what this router has observed of one endpoint.
 type endpointStats struct {
 	health      routing.Health
@@ -25,7 +36,9 @@
 }
 
 func newEndpointTracker() *endpointTracker {
-	return &endpointTracker{byID: make(map[catalog.EndpointID]*endpointStats)}
+	return &endpointTracker{
+		byID: make(map[catalog.EndpointID]*endpointStats), draining: make(map[catalog.EndpointID]drainingEndpoint),
+	}
 }
 
 // requestStarted counts a request that this router sends to an endpoint.
@@ -56,6 +69,28 @@
 	return former.Limit != limit
 }
 
+// markDraining records that an incarnation drains. It reports whether that is new.
+func (e *endpointTracker) markDraining(ep *catalog.Endpoint, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.isDraining(ep)
+	e.draining[ep.ID] = drainingEndpoint{incarnation: ep.Incarnation, at: now}
+	return !known
+}
+
+// drains reports whether an endpoint takes no new requests, by its registration or its responses.
+func (e *endpointTracker) drains(ep *catalog.Endpoint) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isDraining(ep)
+}
+
+// isDraining is drains for a caller that holds e.mu.
+func (e *endpointTracker) isDraining(ep *catalog.Endpoint) bool {
+	d, ok := e.draining[ep.ID]
+	return ep.Draining || ok && d.incarnation == ep.Incarnation
+}
+
 // rateLimit returns the last observation of an endpoint's rate limit.
 func (e *endpointTracker) rateLimit(ep *catalog.Endpoint) ratelimit.Observation {
 	e.mu.Lock()
@@ -84,9 +119,14 @@
 
 // sync drops the statistics of endpoints that are not in the view and have no outstanding
 // requests.
-func (e *endpointTracker) sync(v *catalog.View) {
+func (e *endpointTracker) sync(v *catalog.View, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	for id, d := range e.draining {
+		if now.Sub(d.at) > drainingRetention {
+			delete(e.draining, id)
+		}
+	}
 	for id, s := range e.byID {
 		if s.outstanding == 0 && v.FindEndpoint(s.service, id) == nil {
 			delete(e.byID, id)
@@ -104,7 +144,7 @@
 	all := make([]routing.PlainEndpoint, 0, len(list))
 	unblocked := make([]routing.PlainEndpoint, 0, len(list))
 	for _, ep := range list {
-		if ep.Draining {
+		if e.isDraining(ep) {
 			continue
 		}
 		s := e.stats(ep)
@@ -137,7 +177,7 @@
 	out := make([]routing.Engine, 0, len(list))
 	for _, ep := range list {
 		conn := r.schedulerConns.conn(ep.Address)
-		if ep.Draining || conn == nil {
+		if r.endpointTracker.drains(ep) || conn == nil {
 			continue
 		}
 		health := r.endpointTracker.healthOf(ep)
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -135,7 +135,7 @@
 		q.addStep(endpoint.ID, string(reply.Refusal))
 		return nil, time.Duration(reply.ExpectedWaitMS) * time.Millisecond
 	}
-	if current := r.state.View().FindEndpoint(endpoint.Service, endpoint.ID); current == nil || current.Draining {
+	if current := r.state.View().FindEndpoint(endpoint.Service, endpoint.ID); current == nil || r.endpointTracker.drains(current) {
 		g.release() // The engine started to drain while the request waited.
 		q.addStep(endpoint.ID, "left_meanwhile")
 		return nil, minRetryAfter
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -186,7 +186,7 @@
 		case <-r.state.Changed():
 			v := r.state.View()
 			r.schedulerConns.sync(ctx, v)
-			r.endpointTracker.sync(v)
+			r.endpointTracker.sync(v, time.Now())
 		case now := <-sweep.C:
 			r.pool.CloseExpired(now)
 			r.endpointLimits.Prune(r.state.View(), now)
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -53,8 +53,11 @@
 		return q.sendFailed(err), nil
 	}
 	q.delivered++
-	r.observeRateLimit(endpoint, upResp)
 	head := platform.ParseResponseHead(upResp.Status, upResp.Header)
+	if upResp.Status != http.StatusMisdirectedRequest { // 421 may come from another endpoint at the address.
+		r.observeRateLimit(endpoint, upResp)
+		r.observeDraining(endpoint, head)
+	}
 	if !head.NotExecuted {
 		q.possibleRuns++
 	}
@@ -67,11 +70,8 @@
 }
 
 // observeRateLimit records the rate limit that an endpoint names, or does not name, in a
-// response. Status 421 may come from another endpoint at the same address.
+// response.
 func (r *Router) observeRateLimit(endpoint *catalog.Endpoint, resp *upstream.Response) {
-	if resp.Status == http.StatusMisdirectedRequest {
-		return
-	}
 	log := r.log.WithField("endpoint", endpoint.ID)
 	limit, err := platform.ParseRateLimit(resp.Header)
 	if err != nil {
@@ -86,6 +86,15 @@
 	}
 }
 
+// observeDraining records that an endpoint says in a response that it drains.
+func (r *Router) observeDraining(endpoint *catalog.Endpoint, head platform.ResponseHead) {
+	if head.Draining && r.endpointTracker.markDraining(endpoint, time.Now()) {
+		r.log.WithFields(logrus.Fields{
+			"event": "endpoint_draining", "endpoint": endpoint.ID, "service": endpoint.Service,
+		}).Info("endpoint drains by its own word")
+	}
+}
+
 // ownsResponse reports whether a response belongs to the request. A response without a request
 // id counts as its own.
 func (q *request) ownsResponse(h http.Header) bool {
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -51,6 +51,7 @@
 	fencingToken int64                                     // Fencing token of the orders; 0 if not set yet.
 	failures     int                                       // Consecutive failed reports; used by the Serve loop only.
 	rateLimit    ratelimit.Limit                           // Last logged rate limit of the engine.
+	draining     bool                                      // Last logged state of the engine.
 
 	wake    chan struct{} // Wakes the Serve loop after a change.
 	changed *broadcast    // Notifies the snapshot streams of a change.
@@ -191,6 +192,7 @@
 	e.mu.Lock()
 	change(time.Now())
 	e.logRateLimit()
+	e.logDraining()
 	for _, d := range e.machine.TakeDecisions() {
 		if waiter := e.waiters[d.ID]; waiter != nil {
 			delete(e.waiters, d.ID)
@@ -217,6 +219,15 @@
 	}).Info("rate limit of the engine changed")
 }
 
+// logDraining logs that the engine has started to drain. The caller holds e.mu.
+func (e *Engine) logDraining() {
+	draining := e.machine.Draining()
+	if draining && !e.draining {
+		e.log.WithFields(logrus.Fields{"event": "endpoint_draining", "endpoint": e.endpointID}).Info("engine drains by its own word")
+	}
+	e.draining = draining
+}
+
 // RequestGrant requests a grant. The returned channel receives one decision. Release withdraws
 // the request or ends the grant.
 //
