router: an endpoint's Retry-After is observed

An endpoint that refused requests with 503 and a Retry-After went on to get them: 36 (plain service) and 49 (engine) later than half a second after the first refusal, within a Retry-After of 4 s, 2 allowed. Callers were refused too, 23 of 87 and 40 of 87, as the retries used up their budget. If all endpoints of a service refused, callers got a Retry-After of 0.3 s in place of the endpoint's 2.5 s.

Cause: as for rate limits, a signal of an endpoint that nothing acted on. The router now leaves the incarnation out until then, also after a grant that was waited for. If nothing is left, callers are refused at once with the shortest wait.

Not covered: reports and orders of a scheduler that are refused so.

--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -14,6 +14,13 @@
 	mu       sync.Mutex
 	byID     map[catalog.EndpointID]*endpointStats
 	draining map[catalog.EndpointID]drainingEndpoint // Endpoints that said in a response that they drain.
+	pushback map[catalog.EndpointID]pushback         // Endpoints that refused a request for a time.
+}
+
+// pushback is how long an incarnation wants no requests from this router.
+type pushback struct {
+	incarnation int64
+	until       time.Time
 }
 
 // drainingEndpoint is an incarnation that drains, and when a response said so last.
@@ -38,6 +45,7 @@
 func newEndpointTracker() *endpointTracker {
 	return &endpointTracker{
 		byID: make(map[catalog.EndpointID]*endpointStats), draining: make(map[catalog.EndpointID]drainingEndpoint),
+		pushback: make(map[catalog.EndpointID]pushback),
 	}
 }
 
@@ -78,17 +86,54 @@
 	return !known
 }
 
-// drains reports whether an endpoint takes no new requests, by its registration or its responses.
-func (e *endpointTracker) drains(ep *catalog.Endpoint) bool {
+// isDraining reports whether an endpoint takes no new requests, by its registration or its
+// responses. The caller holds e.mu.
+func (e *endpointTracker) isDraining(ep *catalog.Endpoint) bool {
+	d, ok := e.draining[ep.ID]
+	return ep.Draining || ok && d.incarnation == ep.Incarnation
+}
+
+// setPushback records that an endpoint wants no requests before a time. An earlier time than the
+// recorded one is ignored. It reports whether the endpoint was used until now.
+func (e *endpointTracker) setPushback(ep *catalog.Endpoint, until, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.isDraining(ep)
+	former := e.pushbackWait(ep, now)
+	if now.Add(former).Before(until) {
+		e.pushback[ep.ID] = pushback{incarnation: ep.Incarnation, until: until}
+	}
+	return former == 0
 }
 
-// isDraining is drains for a caller that holds e.mu.
-func (e *endpointTracker) isDraining(ep *catalog.Endpoint) bool {
-	d, ok := e.draining[ep.ID]
-	return ep.Draining || ok && d.incarnation == ep.Incarnation
+// pushbackWait returns how long an endpoint wants no requests. The caller holds e.mu.
+func (e *endpointTracker) pushbackWait(ep *catalog.Endpoint, now time.Time) time.Duration {
+	p := e.pushback[ep.ID]
+	if p.incarnation != ep.Incarnation {
+		return 0
+	}
+	return max(p.until.Sub(now), 0)
+}
+
+// usable reports whether an endpoint may receive a request now: it neither drains nor wants none
+// for a time.
+func (e *endpointTracker) usable(ep *catalog.Endpoint, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.isDraining(ep) && e.pushbackWait(ep, now) == 0
+}
+
+// minPushback returns the shortest time after which one of the endpoints that want no requests
+// for a time may be used again; 0 if there is none.
+func (e *endpointTracker) minPushback(list []*catalog.Endpoint, now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	shortest := time.Duration(0)
+	for _, ep := range list {
+		if !e.isDraining(ep) {
+			shortest = shorterWait(shortest, e.pushbackWait(ep, now))
+		}
+	}
+	return shortest
 }
 
 // rateLimit returns the last observation of an endpoint's rate limit.
@@ -127,6 +172,11 @@
 			delete(e.draining, id)
 		}
 	}
+	for id, p := range e.pushback {
+		if now.After(p.until) {
+			delete(e.pushback, id)
+		}
+	}
 	for id, s := range e.byID {
 		if s.outstanding == 0 && v.FindEndpoint(s.service, id) == nil {
 			delete(e.byID, id)
@@ -134,7 +184,7 @@
 	}
 }
 
-// plainCandidates returns the endpoints of a plain service that do not drain. It leaves out
+// plainCandidates returns the usable endpoints of a plain service. It leaves out
 // blocked endpoints unless all are blocked.
 func (e *endpointTracker) plainCandidates(
 	list []*catalog.Endpoint, tried map[catalog.EndpointID]bool, now time.Time,
@@ -144,7 +194,7 @@
 	all := make([]routing.PlainEndpoint, 0, len(list))
 	unblocked := make([]routing.PlainEndpoint, 0, len(list))
 	for _, ep := range list {
-		if e.isDraining(ep) {
+		if e.isDraining(ep) || e.pushbackWait(ep, now) > 0 {
 			continue
 		}
 		s := e.stats(ep)
@@ -170,14 +220,14 @@
 	return e.stats(ep).health
 }
 
-// engineCandidates returns the engines of the request's service that do not drain and have a
-// scheduler connection.
+// engineCandidates returns the usable engines of the request's service that have a scheduler
+// connection.
 func (r *Router) engineCandidates(v *catalog.View, q *request, now time.Time) []routing.Engine {
 	list := v.Endpoints[q.service.Name]
 	out := make([]routing.Engine, 0, len(list))
 	for _, ep := range list {
 		conn := r.schedulerConns.conn(ep.Address)
-		if r.endpointTracker.drains(ep) || conn == nil {
+		if conn == nil || !r.endpointTracker.usable(ep, now) {
 			continue
 		}
 		health := r.endpointTracker.healthOf(ep)
--- a/internal/router/endpoints_test.go
+++ b/internal/router/endpoints_test.go
@@ -12,17 +12,39 @@
 func TestDrainingEndpointStaysSoWithinIncarnation(t *testing.T) {
 	tracker, now := newEndpointTracker(), time.Unix(1000, 0)
 	endpoint := &catalog.Endpoint{ID: "e", Service: "s", Incarnation: 5}
-	if tracker.drains(endpoint) {
+	if !tracker.usable(endpoint, now) {
 		t.Fatal("endpoint drains before it said so")
 	}
 	if !tracker.markDraining(endpoint, now) || tracker.markDraining(endpoint, now) {
 		t.Error("markDraining: want the first response to be new and the second not")
 	}
 	tracker.sync(catalog.NewState().View(), now.Add(time.Second))
-	if !tracker.drains(endpoint) || len(tracker.plainCandidates([]*catalog.Endpoint{endpoint}, nil, now)) > 0 {
+	if tracker.usable(endpoint, now) || len(tracker.plainCandidates([]*catalog.Endpoint{endpoint}, nil, now)) > 0 {
 		t.Error("endpoint is used again after its registration was removed, want it left out")
 	}
-	if tracker.drains(&catalog.Endpoint{ID: "e", Service: "s", Incarnation: 6}) {
+	if !tracker.usable(&catalog.Endpoint{ID: "e", Service: "s", Incarnation: 6}, now) {
 		t.Error("the next incarnation counts as draining")
 	}
 }
+
+// An endpoint that wants no requests for a time is left out until then. A shorter time does not
+// replace a longer one, and the next incarnation is free of it.
+func TestPushbackLastsUntilItsTime(t *testing.T) {
+	tracker, now := newEndpointTracker(), time.Unix(1000, 0)
+	endpoint := &catalog.Endpoint{ID: "e", Service: "s", Incarnation: 5}
+	list := []*catalog.Endpoint{endpoint}
+	if !tracker.setPushback(endpoint, now.Add(4*time.Second), now) || tracker.setPushback(endpoint, now.Add(time.Second), now) {
+		t.Error("setPushback: want the endpoint to be in use before the first call only")
+	}
+	tracker.sync(catalog.NewState().View(), now.Add(3*time.Second))
+	later := now.Add(3 * time.Second)
+	if tracker.usable(endpoint, later) || tracker.minPushback(list, later) != time.Second {
+		t.Errorf("3 s after a pushback of 4 s: shortest wait = %s, want 1 s", tracker.minPushback(list, later))
+	}
+	if !tracker.usable(&catalog.Endpoint{ID: "e", Service: "s", Incarnation: 6}, later) {
+		t.Error("the next incarnation is left out too")
+	}
+	if !tracker.usable(endpoint, now.Add(4*time.Second)) {
+		t.Error("endpoint is left out after its time")
+	}
+}
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -60,7 +60,7 @@
 		now := time.Now()
 		ranked := routing.Rank(r.routing, r.job(q, now), r.engineCandidates(v, q, now))
 		if len(ranked) == 0 {
-			return nil, minWait
+			return nil, shorterWait(minWait, r.endpointTracker.minPushback(v.Endpoints[q.service.Name], now))
 		}
 		best := ranked[0]
 		endpoint := v.FindEndpoint(q.service.Name, best.ID)
@@ -78,9 +78,7 @@
 			return p, expectedWait
 		}
 		q.tried[best.ID] = true
-		if minWait == 0 || expectedWait < minWait {
-			minWait = expectedWait
-		}
+		minWait = shorterWait(minWait, expectedWait)
 		if time.Since(q.arrived) > time.Duration(maxWaitFactor*float64(q.latencyTarget())) {
 			break // The request has reached its maximum wait, and other queues are as long.
 		}
@@ -135,8 +133,8 @@
 		q.addStep(endpoint.ID, string(reply.Refusal))
 		return nil, time.Duration(reply.ExpectedWaitMS) * time.Millisecond
 	}
-	if current := r.state.View().FindEndpoint(endpoint.Service, endpoint.ID); current == nil || r.endpointTracker.drains(current) {
-		g.release() // The engine started to drain while the request waited.
+	if current := r.state.View().FindEndpoint(endpoint.Service, endpoint.ID); current == nil || !r.endpointTracker.usable(current, time.Now()) {
+		g.release() // The engine started to drain or refused another request while this one waited.
 		q.addStep(endpoint.ID, "left_meanwhile")
 		return nil, minRetryAfter
 	}
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -27,17 +27,19 @@
 				r.refuseUnanswered(q)
 				return
 			}
-			r.refuse(q, refusal.CodeEndpointBusy, "All endpoints of the service are at their rate limits.", expectedWait)
+			r.refuse(q, refusal.CodeEndpointBusy, "The endpoints of the service take no further requests for now.", expectedWait)
 		},
 	}
 }
 
 // selectPlain selects the best endpoint that was not tried and whose rate limit permits the
-// request. If the limits of all permit none, it returns the shortest wait.
+// request. If there is none, it returns the shortest wait until a limit or a Retry-After permits
+// one, or 0 if no endpoint has either.
 func (r *Router) selectPlain(q *request) (*placement, time.Duration) {
 	v := r.state.View()
-	candidates := r.endpointTracker.plainCandidates(v.Endpoints[q.service.Name], q.tried, time.Now())
-	minWait := time.Duration(0)
+	now, list := time.Now(), v.Endpoints[q.service.Name]
+	candidates := r.endpointTracker.plainCandidates(list, q.tried, now)
+	minWait := r.endpointTracker.minPushback(list, now)
 	for _, id := range routing.RankPlainEndpoints(r.settings.FailureDomain, candidates, rand.Float64) {
 		endpoint := v.FindEndpoint(q.service.Name, id)
 		if endpoint == nil {
@@ -49,9 +51,7 @@
 		}
 		r.counters.rateLimited.Inc(1)
 		q.addStep(id, stepRateLimited)
-		if minWait == 0 || d.RetryAfter < minWait {
-			minWait = d.RetryAfter
-		}
+		minWait = shorterWait(minWait, d.RetryAfter)
 	}
 	return nil, minWait
 }
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -42,6 +42,14 @@
 	refuse func(q *request, expectedWait time.Duration)
 }
 
+// shorterWait returns the shorter of two waits, of which 0 is an unknown one.
+func shorterWait(a, b time.Duration) time.Duration {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // run sends the request to one endpoint after the other until the caller has its final
 // response.
 func (r *Router) run(q *request, s strategy) {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -57,6 +57,7 @@
 	if upResp.Status != http.StatusMisdirectedRequest { // 421 may come from another endpoint at the address.
 		r.observeRateLimit(endpoint, upResp)
 		r.observeDraining(endpoint, head)
+		r.observePushback(endpoint, head)
 	}
 	if !head.NotExecuted {
 		q.possibleRuns++
@@ -95,6 +96,16 @@
 	}
 }
 
+// observePushback records that an endpoint wants no requests for a time.
+func (r *Router) observePushback(endpoint *catalog.Endpoint, head platform.ResponseHead) {
+	now := time.Now()
+	if head.RetryAfter > 0 && r.endpointTracker.setPushback(endpoint, now.Add(head.RetryAfter), now) {
+		r.log.WithFields(logrus.Fields{
+			"event": "endpoint_pushback", "endpoint": endpoint.ID, "service": endpoint.Service, "ms": head.RetryAfter.Milliseconds(),
+		}).Info("endpoint wants no requests for a time")
+	}
+}
+
 // ownsResponse reports whether a response belongs to the request. A response without a request
 // id counts as its own.
 func (q *request) ownsResponse(h http.Header) bool {
