--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -92,7 +92,7 @@
 	if head.Draining && r.endpointTracker.markDraining(endpoint, time.Now()) {
 		r.log.WithFields(logrus.Fields{
 			"event": "endpoint_draining", "endpoint": endpoint.ID, "service": endpoint.Service,
-		}).Info("endpoint drains by its own word")
+		}).Info("endpoint says that it drains")
 	}
 }
 
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -223,7 +223,7 @@
 func (e *Engine) logDraining() {
 	draining := e.machine.Draining()
 	if draining && !e.draining {
-		e.log.WithFields(logrus.Fields{"event": "endpoint_draining", "endpoint": e.endpointID}).Info("engine drains by its own word")
+		e.log.WithFields(logrus.Fields{"event": "endpoint_draining", "endpoint": e.endpointID}).Info("engine says that it drains")
 	}
 	e.draining = draining
 }
