--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -276,7 +276,8 @@
 		bucket: NewBucket(o.Rate, o.Burst, 100, time.Now()), ready: closedChannel(), settled: true, since: time.Now(),
 	}
 	owner.peers.markInterrupted(time.Now())
-	if owner.ledger.Take(ctx, o, 600).Admitted && owner.ledger.Take(ctx, o, 600).Admitted {
+	first := owner.ledger.Take(ctx, o, 600)
+	if second := owner.ledger.Take(ctx, o, 600); first.Admitted && second.Admitted {
 		t.Error("interrupted owner admitted 1,200 units, want at most one request beyond the other router's balance of 100")
 	}
 	other.ledger.mu.Lock()
