--- a/internal/catalog/expirer.go
+++ b/internal/catalog/expirer.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/hyssoptiller/hyssoptiller/internal/sleep"
 )
 
@@ -13,7 +15,10 @@
 
 // Expirer removes endpoints from a State when their grace period has ended. It implements
 // suture.Service.
-type Expirer struct{ State *State }
+type Expirer struct {
+	State *State
+	Log   *logrus.Entry
+}
 
 // Serve removes expired endpoints every expiryInterval until ctx ends.
 func (e Expirer) Serve(ctx context.Context) error {
@@ -21,6 +26,9 @@
 		if err := sleep.For(ctx, expiryInterval); err != nil {
 			return err
 		}
-		e.State.Expire(time.Now())
+		for _, id := range e.State.Expire(time.Now()) {
+			e.Log.WithFields(logrus.Fields{"event": "endpoint_expired", "endpoint": id}).
+				Info("endpoint removed: not registered again after the store outage")
+		}
 	}
 }
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -80,6 +80,9 @@
 	listed      bool             // A watch from position misses no change.
 	revisions   map[string]int64 // Revision of each known item in the epoch of position, by key.
 	outageStart time.Time        // Zero while the store responds.
+	failures    int              // Consecutive failed calls.
+	lastFailure time.Duration    // Duration of the last failed call.
+	respondedAt time.Time        // Last response of the store; zero before the first one.
 }
 
 // String returns the service name for supervisor events.
@@ -112,6 +115,8 @@
 		if ctx.Err() != nil {
 			break
 		}
+		f.failures++
+		f.lastFailure = time.Since(began)
 		f.beginOutage(err)
 		if sleep.For(ctx, wait) != nil {
 			break
@@ -128,7 +133,7 @@
 		if err != nil {
 			return err
 		}
-		f.endOutage()
+		f.markResponse()
 		f.applyListing(items, position)
 		return nil
 	}
@@ -136,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	f.endOutage()
+	f.markResponse()
 	for _, item := range items {
 		f.apply(item)
 	}
@@ -220,6 +225,20 @@
 	f.Log.WithField("prefix", f.Prefix).WithError(err).Warn("store lost")
 }
 
+// markResponse records a response of the store and ends an outage.
+func (f *Follower) markResponse() {
+	f.endOutage()
+	f.respondedAt = time.Now()
+}
+
+// unread returns the time since the last response; 0 before the first one.
+func (f *Follower) unread() time.Duration {
+	if f.respondedAt.IsZero() {
+		return 0
+	}
+	return time.Since(f.respondedAt)
+}
+
 // endOutage ends an outage, if one is recorded. After an outage of at least minOutage it calls
 // OnRecovered.
 func (f *Follower) endOutage() {
@@ -227,8 +246,11 @@
 		return
 	}
 	outage := time.Since(f.outageStart)
-	f.outageStart = time.Time{}
-	f.Log.WithField("prefix", f.Prefix).WithField("outage_ms", outage.Milliseconds()).Info("store regained")
+	f.Log.WithFields(logrus.Fields{
+		"prefix": f.Prefix, "outage_ms": outage.Milliseconds(), "unread_ms": f.unread().Milliseconds(),
+		"failed_calls": f.failures, "last_failed_call_ms": f.lastFailure.Milliseconds(),
+	}).Info("store regained")
+	f.outageStart, f.failures = time.Time{}, 0
 	if outage >= minOutage && f.OnRecovered != nil {
 		f.OnRecovered()
 	}
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -137,20 +137,22 @@
 }
 
 // RemoveEndpoint removes an endpoint. During the grace period after a store outage the removal
-// is postponed to the end of that period, unless the endpoint drains.
-func (s *State) RemoveEndpoint(id EndpointID, now time.Time) {
+// is postponed to the end of that period, unless the endpoint drains. RemoveEndpoint returns for how
+// long it is postponed.
+func (s *State) RemoveEndpoint(id EndpointID, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.endpoints[id]
 	if e == nil {
-		return
+		return 0
 	}
 	if now.Before(s.graceUntil) && !e.Draining {
 		s.expiring[id] = s.graceUntil
-		return
+		return s.graceUntil.Sub(now)
 	}
 	s.deleteEndpoint(id, now)
 	s.invalidate()
+	return 0
 }
 
 // deleteEndpoint deletes an endpoint and keeps its last registration. The caller holds s.mu.
@@ -176,17 +178,17 @@
 }
 
 // Expire removes the endpoints whose grace period has ended, and the removed registrations
-// whose retention has ended.
-func (s *State) Expire(now time.Time) {
+// whose retention has ended. It returns the removed endpoints.
+func (s *State) Expire(now time.Time) []EndpointID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := false
+	var expired []EndpointID
 	for id, until := range s.expiring {
 		if now.Before(until) {
 			continue
 		}
 		s.deleteEndpoint(id, now)
-		changed = true
+		expired = append(expired, id)
 	}
 	for id, at := range s.removed {
 		if now.Sub(at) >= removedRetention {
@@ -194,9 +196,10 @@
 			delete(s.latest, id)
 		}
 	}
-	if changed {
+	if len(expired) > 0 {
 		s.invalidate()
 	}
+	return expired
 }
 
 // invalidate discards the current View and signals a change. The caller holds s.mu.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -123,7 +123,7 @@
 	base.Add(platform.FollowOperator(r.store, r.state, watchTimeout, r.log, nil))
 	base.Add(platform.FollowRegistry(r.store, r.state, watchTimeout, r.registryInterval(), r.log))
 	base.Add(platform.FollowRouters(r.store, routersWatchTimeout, routersWatchInterval, r.log, r.updatePeer))
-	base.Add(catalog.Expirer{State: r.state})
+	base.Add(catalog.Expirer{State: r.state, Log: r.log})
 	base.Add(r.peers)
 	base.Add(service{"sync", r.syncLoop})
 	frontGrace := max(r.settings.ShutdownGrace-drainAcceptDuration-drainMargin, time.Second)
