catalog: the store is read again soon after a silent outage

After a silent outage of the store, a router read changes up to 3.2 s after the store was back, where 3 s are permitted: configurations were not in force, and endpoints that drained got requests.

Cause: a call that the store receives in the last moments of a silent outage is never answered. It ended with the timeout of a watch (2.2 s), and the next call followed after a further backoff of up to 1 s. The class of fault: a timeout and a delay that are each within a bound and together exceed it.

The delay now counts from the start of the failed call. A watch waits until WatchTimeout after the last response, so it does not wait at all during an outage: the first one after it succeeds at once, and a silent connection is also detected in time if a pause between two watches came before. The rate of calls during an outage is as before.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -49,8 +49,8 @@
 }
 
 const (
-	// minRetryDelay and maxRetryDelay bound the delay after a failed call. They keep 25
-	// processes below 50 calls per second during an outage.
+	// minRetryDelay and maxRetryDelay bound the time from the start of a failed call to the
+	// next call. They keep 25 processes below 50 calls per second during an outage.
 	minRetryDelay = 200 * time.Millisecond
 	maxRetryDelay = time.Second
 	// minOutage is the shortest outage after which registrations may have expired although
@@ -69,7 +69,8 @@
 	OnRecovered func()
 	// OnListed is called after each listing, with its position. It may be nil.
 	OnListed func(Position)
-	// WatchTimeout is the longest time that one watch call waits for a change.
+	// WatchTimeout is how long after a response of the store a watch waits for a change at most. A
+	// watch during an outage does not wait, so that the first one after it succeeds at once.
 	WatchTimeout time.Duration
 	// MinInterval is the shortest interval between two watch calls, so that frequent changes are
 	// batched.
@@ -118,7 +119,7 @@
 		f.failures++
 		f.lastFailure = time.Since(began)
 		f.beginOutage(err)
-		if sleep.For(ctx, wait) != nil {
+		if sleep.For(ctx, wait-time.Since(began)) != nil {
 			break
 		}
 		wait = min(2*wait, maxRetryDelay)
@@ -137,7 +138,7 @@
 		f.applyListing(items, position)
 		return nil
 	}
-	items, position, err := f.Store.Watch(ctx, f.Prefix, f.position, f.WatchTimeout)
+	items, position, err := f.Store.Watch(ctx, f.Prefix, f.position, max(f.WatchTimeout-f.unread(), 0))
 	if err != nil {
 		return err
 	}
