catalog: an endpoint that left during an outage is out of use in time

A router that was cut off from the store sent requests to an endpoint that had left, 3.1 s and more after its path to the store was back (12 s after the leave).

Cause: a registration that is missing after an outage stays in use, since it may have expired in the outage while its endpoint runs. That time, 2.2 s, counted from the router's first successful read. The read itself came up to 3.2 s after the path was back, and a router that alone was cut off cannot tell its outage from one of the store. The class of fault: a period that belongs to an event is counted from its observation.

The time now counts from the earliest moment at which the store may have been back: the start of the last failed call, or the last response before a restore was noticed. It is 2.6 s, so with the interval of the expiry an endpoint that left is out of use within 3 s. Calls during an outage follow every 0.7 s, so an endpoint that registers again within 1.8 s stays in use all the while; 33 followers of 23 processes make 47 calls a second then.

TestMissingRegistrationsAreUsedForLessThanContactTime fails with the former start of the period at an outage of 1.73 s, and passes.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -286,7 +286,7 @@
 		recoveries := 0
 		f := &Follower{
 			Store: store, WatchTimeout: time.Second, Log: logrus.NewEntry(log),
-			OnListed: func(Position) {}, OnRecovered: func() { recoveries++ },
+			OnListed: func(Position) {}, OnRecovered: func(time.Time) { recoveries++ },
 			OnChange: func(i Item) {
 				mu.Lock()
 				defer mu.Unlock()
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -52,12 +52,18 @@
 	// minRetryDelay and maxRetryDelay bound the time from the start of a failed call to the
 	// next call. They keep 25 processes below 50 calls per second during an outage.
 	minRetryDelay = 200 * time.Millisecond
-	maxRetryDelay = time.Second
+	maxRetryDelay = 700 * time.Millisecond
 	// minOutage is the shortest outage after which registrations may have expired although
 	// their owners are running.
 	minOutage = 500 * time.Millisecond
 )
 
+// failedCall is a call that the store did not serve.
+type failedCall struct {
+	began time.Time
+	took  time.Duration
+}
+
 // Follower mirrors the items under one prefix of a Store.
 type Follower struct {
 	Store  Store
@@ -65,8 +71,9 @@
 	// OnChange is called for each change. Item.Deleted is set for a deletion.
 	OnChange func(Item)
 	// OnRecovered is called after an outage of the store of at least minOutage and after a
-	// restore, before the first changes after it. It may be nil.
-	OnRecovered func()
+	// restore, before the first changes after it. back is the earliest time at which the store may
+	// have been back. It may be nil.
+	OnRecovered func(back time.Time)
 	// OnListed is called after each listing, with its position. It may be nil.
 	OnListed func(Position)
 	// WatchTimeout is how long after a response of the store a watch waits for a change at most. A
@@ -82,8 +89,9 @@
 	revisions   map[string]int64 // Revision of each known item in the epoch of position, by key.
 	outageStart time.Time        // Zero while the store responds.
 	failures    int              // Consecutive failed calls.
-	lastFailure time.Duration    // Duration of the last failed call.
+	lastFailed  failedCall       // The last of them.
 	respondedAt time.Time        // Last response of the store; zero before the first one.
+	back        time.Time        // Earliest time at which the store may have been back before that response.
 }
 
 // String returns the service name for supervisor events.
@@ -117,7 +125,7 @@
 			break
 		}
 		f.failures++
-		f.lastFailure = time.Since(began)
+		f.lastFailed = failedCall{began: began, took: time.Since(began)}
 		f.beginOutage(err)
 		if sleep.For(ctx, wait-time.Since(began)) != nil {
 			break
@@ -180,7 +188,7 @@
 		f.revisions[key] = 0
 	}
 	if f.OnRecovered != nil {
-		f.OnRecovered()
+		f.OnRecovered(f.back)
 	}
 }
 
@@ -228,6 +236,10 @@
 
 // markResponse records a response of the store and ends an outage.
 func (f *Follower) markResponse() {
+	f.back = f.respondedAt
+	if !f.outageStart.IsZero() {
+		f.back = f.lastFailed.began // A call that begins once the store is back succeeds.
+	}
 	f.endOutage()
 	f.respondedAt = time.Now()
 }
@@ -249,10 +261,10 @@
 	outage := time.Since(f.outageStart)
 	f.Log.WithFields(logrus.Fields{
 		"prefix": f.Prefix, "outage_ms": outage.Milliseconds(), "unread_ms": f.unread().Milliseconds(),
-		"failed_calls": f.failures, "last_failed_call_ms": f.lastFailure.Milliseconds(),
+		"failed_calls": f.failures, "last_failed_call_ms": f.lastFailed.took.Milliseconds(),
 	}).Info("store regained")
 	f.outageStart, f.failures = time.Time{}, 0
 	if outage >= minOutage && f.OnRecovered != nil {
-		f.OnRecovered()
+		f.OnRecovered(f.back)
 	}
 }
--- a/internal/catalog/outage_test.go
+++ b/internal/catalog/outage_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
 )
 
 // Timeouts of the store's client in these tests.
@@ -68,20 +69,26 @@
 	return items, position, err
 }
 
-// newTestFollower returns a follower with the settings of a router that sends on changed when
-// the item "change" appears.
-func newTestFollower(store Store, minInterval time.Duration) (f *Follower, changed chan time.Time) {
+func discardLog() *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	changed = make(chan time.Time, 1)
-	return &Follower{
-		Store: store, WatchTimeout: 1500 * time.Millisecond, MinInterval: minInterval, Log: logrus.NewEntry(log),
-		OnChange: func(i Item) {
-			if i.Key == "change" {
-				changed <- time.Now()
-			}
-		},
-	}, changed
+	return logrus.NewEntry(log)
+}
+
+// newTestFollower returns a follower with the settings of a router.
+func newTestFollower(store Store, minInterval time.Duration) *Follower {
+	return &Follower{Store: store, WatchTimeout: 1500 * time.Millisecond, MinInterval: minInterval, Log: discardLog()}
+}
+
+// startService runs a service until the returned function is called.
+func startService(t *testing.T, s suture.Service) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- s.Serve(ctx) }()
+	return func() {
+		cancel()
+		<-done
+	}
 }
 
 // A call that the store receives in the last moments of a silent outage is never answered. A change
@@ -93,10 +100,10 @@
 			for outage := 50 * time.Millisecond; outage < 12*time.Second; outage += 70 * time.Millisecond {
 				synctest.Test(t, func(t *testing.T) {
 					store := &silentStore{fakeStore: &fakeStore{items: map[string]Item{}}}
-					f, changed := newTestFollower(store, minInterval)
-					ctx, stop := context.WithCancel(t.Context())
-					done := make(chan error)
-					go func() { done <- f.Serve(ctx) }()
+					changed := make(chan time.Time, 1)
+					f := newTestFollower(store, minInterval)
+					f.OnChange = func(Item) { changed <- time.Now() }
+					defer startService(t, f)()
 					time.Sleep(start)
 					store.setSilent(true)
 					store.put("change", false)
@@ -107,10 +114,60 @@
 						t.Errorf("minimum interval %s, outage of %s after %s: change read %s after the outage, want at most %s",
 							minInterval, outage, start, took, contactTime)
 					}
-					stop()
-					<-done
 				})
 			}
 		}
 	}
 }
+
+// After an outage, a missing registration may have expired although its endpoint runs, or it was
+// removed because its endpoint left. An endpoint that left must not be in use once the contact time
+// has passed. One that registers again in time must stay in use all the while.
+func TestMissingRegistrationsAreUsedForLessThanContactTime(t *testing.T) {
+	const (
+		minExpiry      = 3 * time.Second // Registrations of running endpoints do not expire in shorter outages.
+		reregistration = 1800 * time.Millisecond
+	)
+	for outage := 50 * time.Millisecond; outage < 12*time.Second; outage += 70 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			store, state := &silentStore{fakeStore: &fakeStore{items: map[string]Item{}}}, NewState()
+			f := newTestFollower(store, 800*time.Millisecond)
+			f.OnRecovered = state.StoreRecovered
+			f.OnChange = func(i Item) {
+				id := EndpointID(i.Key)
+				if i.Deleted {
+					state.RemoveEndpoint(id, time.Now())
+				} else {
+					state.SetEndpoint(&Endpoint{ID: id, Service: "s"})
+				}
+			}
+			inUse := func(id EndpointID) bool { return state.View().FindEndpoint("s", id) != nil }
+			store.put("running", false)
+			store.put("left", false)
+			defer startService(t, f)()
+			defer startService(t, Expirer{State: state, Log: discardLog()})()
+			time.Sleep(2 * time.Second)
+			store.setSilent(true)
+			store.put("running", true)
+			store.put("left", true)
+			time.Sleep(outage)
+			store.setSilent(false)
+			end := time.Now()
+			registered := false
+			for since := time.Duration(0); since < contactTime; since = time.Since(end) {
+				if since >= reregistration && !registered {
+					registered = true
+					store.put("running", false)
+				}
+				if outage >= minExpiry && !inUse("running") {
+					t.Errorf("outage of %s: the endpoint that registers again is not in use %s after it", outage, since)
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if inUse("left") {
+				t.Errorf("outage of %s: the endpoint that left is in use %s after it", outage, contactTime)
+			}
+		})
+	}
+}
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -7,9 +7,10 @@
 	"time"
 )
 
-// reregistrationGrace is how long an endpoint whose registration expired during a store outage
-// stays in use after the outage. A running endpoint registers again within that time.
-const reregistrationGrace = 2200 * time.Millisecond
+// reregistrationGrace is how long after a store outage an endpoint with a missing registration stays
+// in use. If the registration expired in the outage, a running endpoint registers again within
+// about 2 s. If the endpoint left, it must be out of use 3 s after the outage.
+const reregistrationGrace = 2600 * time.Millisecond
 
 // removedRetention is how long a removed registration is kept to recognise it in a restored
 // store. A backup is seconds old.
@@ -162,11 +163,12 @@
 	s.removed[id] = now
 }
 
-// StoreRecovered starts the grace period after a store outage.
-func (s *State) StoreRecovered(now time.Time) {
+// StoreRecovered starts the grace period after a store outage. back is the earliest time at which
+// the store may have been back.
+func (s *State) StoreRecovered(back time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.graceUntil = now.Add(reregistrationGrace)
+	s.graceUntil = back.Add(reregistrationGrace)
 }
 
 // MarkListed records that the registry has been listed.
