--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -74,6 +74,9 @@
 		fields["pause_ms"] = q.trace.longestGap.Milliseconds()
 		fields["events"], fields["prompt"], fields["units"] = q.events, q.call.PromptTokens, q.units
 	}
+	if q.trace.broken && len(q.call.PromptParts) > 0 {
+		fields["parts"] = q.sharedParts()
+	}
 	if len(q.trace.steps) > 0 {
 		fields["steps"] = q.trace.steps
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -47,6 +47,7 @@
 	firstByte    time.Duration // Time from arrival to the first byte of the response.
 	longestGap   time.Duration // Longest gap between two events.
 	steps        []string      // Endpoint and result of each attempt.
+	broken       bool          // An endpoint broke off an attempt.
 }
 
 // remaining returns the time until the deadline.
@@ -60,6 +61,20 @@
 	}
 }
 
+// sharedParts returns the IDs of all prompt parts but the last, which belongs to this request or
+// its session. Other requests may share these parts.
+func (q *request) sharedParts() []string {
+	parts := q.call.PromptParts
+	if len(parts) < 2 {
+		return nil
+	}
+	ids := make([]string, len(parts)-1)
+	for i := range ids {
+		ids[i] = parts[i].ID
+	}
+	return ids
+}
+
 // ranStatus returns what a refusal may state about whether the request ran.
 func (q *request) ranStatus() refusal.Ran {
 	if q.possibleRuns > 0 {
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -121,6 +121,7 @@
 		r.pool.CloseIdle(endpoint.Address)
 	}
 	if res == resultBroken {
+		q.trace.broken = true
 		r.crashTracker.checkCrash(q.fingerprint(), endpoint)
 	}
 	return res, resp
