router: prompt parts that crash engines are held back

Callers lost the responses that ran on these engines.

Cause: crashes were counted for whole requests only, by organisation, route and body. No two of these requests are equal, so none reached the limit. The class of fault: evidence is collected for a key that is finer than the cause.

Routers now count crashes for the prompt parts of the requests whose response had not begun, but for the last part of each, which is the request's own. A complete response proves all parts of its request. A part with three crashes and no proof in between, at no router, becomes a suspect: one request at a time runs on trial, at one router in turn, and the others are refused at once. Crashes during two trials, or three if the part was ever proved, put it in quarantine on all routers, for 30 s at first; a complete response clears it. Only requests with the part are refused, not their callers nor their other parts, which finished requests prove all the time. A router that starts reads the state from the others. Only an engine whose VM refuses connections counts: a silent VM is no crash of a process.

--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -8,6 +8,9 @@
 // crashes each endpoint that runs it. Therefore one run without a crash clears a
 // request, and each recent run without a crash excuses one crash, up to a limit.
 //
+// A PartTracker finds parts of prompts that crash engines whatever else a request contains, as it may
+// happen that no two requests with such a part are equal.
+//
 // The package is pure: time is an argument. The caller must serialize access.
 package quarantine
 
--- a/internal/quota/endpoints.go
+++ b/internal/quota/endpoints.go
@@ -132,7 +132,7 @@
 		return Decision{Admitted: reply.Taken, RetryAfter: time.Duration(reply.WaitMS) * time.Millisecond}
 	}
 	var reply takeReply
-	if err := l.peers.call(ctx, counter.Peer, PathTakeEndpoint, req, &reply); err != nil {
+	if err := l.peers.Call(ctx, counter.Peer, PathTakeEndpoint, req, &reply); err != nil {
 		if ctx.Err() == nil {
 			l.log.WithError(err).WithFields(logrus.Fields{"event": "endpoint_limit_silent", "home": counter.VM, "endpoint": req.Key}).
 				Warn("router that counts the endpoint's requests did not respond")
--- a/internal/quota/endpoints_test.go
+++ b/internal/quota/endpoints_test.go
@@ -125,7 +125,7 @@
 		}
 	}
 	for _, p := range isolated.peers.sample(2) {
-		_ = isolated.peers.call(context.Background(), p, PathPing, nil, nil)
+		_ = isolated.peers.Call(context.Background(), p, PathPing, nil, nil)
 	}
 	const perSecond = 60.0
 	began, admitted := time.Now(), 0
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -110,7 +110,7 @@
 			return Decision{Admitted: taken, RetryAfter: wait}
 		}
 		var reply takeReply
-		err := l.peers.call(ctx, owner, PathTake, quotaRequest{Organisation: o.Name, Units: units}, &reply)
+		err := l.peers.Call(ctx, owner, PathTake, quotaRequest{Organisation: o.Name, Units: units}, &reply)
 		if err == nil {
 			return Decision{Admitted: reply.Taken, RetryAfter: time.Duration(reply.WaitMS) * time.Millisecond, OwnerVM: owner.VM}
 		}
@@ -138,7 +138,7 @@
 		l.returnLocal(o.Name, units)
 		return
 	}
-	if err := l.peers.call(ctx, owner, PathReturn, quotaRequest{Organisation: o.Name, Units: units}, nil); err != nil {
+	if err := l.peers.Call(ctx, owner, PathReturn, quotaRequest{Organisation: o.Name, Units: units}, nil); err != nil {
 		l.log.WithError(err).WithField("home", owner.VM).Info("units not returned to the quota owner")
 	}
 }
--- a/internal/quota/peers.go
+++ b/internal/quota/peers.go
@@ -59,6 +59,9 @@
 
 // Peers holds the other routers and their state. It is safe for concurrent use.
 type Peers struct {
+	// OnFound is called in the background for each router that is found. Set it before Add; it may be nil.
+	OnFound func(Peer)
+
 	self   string // VM of this router.
 	client *http.Client
 	log    *logrus.Entry
@@ -89,6 +92,9 @@
 		other = &peer{Peer: found, respondedAt: time.Now()}
 		p.byVM[found.VM] = other
 		p.log.WithFields(logrus.Fields{"event": "router", "peer": found.VM, "address": found.Address}).Info("router found")
+		if p.OnFound != nil {
+			go p.OnFound(found)
+		}
 	}
 	other.listed = true
 }
@@ -114,8 +120,8 @@
 		}
 		for _, target := range p.sample(pingPeers) {
 			go func() {
-				// call records the failure, and Isolated and owners use the record.
-				_ = p.call(ctx, target, PathPing, nil, nil)
+				// Call records the failure, and Isolated and owners use the record.
+				_ = p.Call(ctx, target, PathPing, nil, nil)
 			}()
 		}
 		p.removeUnlisted(time.Now())
@@ -305,7 +311,7 @@
 	for _, voter := range voters {
 		go func() {
 			var reply reachableReply
-			err := p.call(ctx, voter, PathReachable, reachableRequest{VM: vm}, &reply)
+			err := p.Call(ctx, voter, PathReachable, reachableRequest{VM: vm}, &reply)
 			unreachable <- err == nil && !reply.Reachable
 		}()
 	}
@@ -330,8 +336,8 @@
 	target, reachable := other.Peer, time.Now().After(other.unreachableUntil)
 	p.mu.Unlock()
 	go func() {
-		// call records the failure for the next check.
-		_ = p.call(context.WithoutCancel(ctx), target, PathPing, nil, nil)
+		// Call records the failure for the next check.
+		_ = p.Call(context.WithoutCancel(ctx), target, PathPing, nil, nil)
 	}()
 	return reachable
 }
@@ -343,21 +349,48 @@
 	p.leaving = true
 }
 
+// Owns reports whether it is this router's turn to own a key: the turns go through the ranking of the
+// reachable routers. Routers that do not reach each other may own the same key.
+func (p *Peers) Owns(key string, turn int, now time.Time) bool {
+	reachable := slices.DeleteFunc(p.ranking(key, now), func(c candidate) bool { return !c.reachable })
+	return len(reachable) > 0 && reachable[turn%len(reachable)].VM == ""
+}
+
+// CallAll sends a call to all other routers and waits for their responses. handle is called for
+// each one, one after the other. Failed calls are logged.
+func (p *Peers) CallAll(ctx context.Context, path string, req any, handle func(json.RawMessage)) {
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, target := range p.sample(p.Count()) {
+		calls.Go(func() {
+			var reply json.RawMessage
+			if err := p.Call(ctx, target, path, req, &reply); err != nil {
+				p.log.WithError(err).WithFields(logrus.Fields{"peer": target.VM, "path": path}).Info("call to router failed")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			handle(reply)
+		})
+	}
+	calls.Wait()
+}
+
 // Broadcast sends a call to all other routers without waiting for the responses.
 func (p *Peers) Broadcast(ctx context.Context, path string, req any) {
 	for _, target := range p.sample(p.Count()) {
 		go func() {
-			if err := p.call(ctx, target, path, req, nil); err != nil {
+			if err := p.Call(ctx, target, path, req, nil); err != nil {
 				p.log.WithError(err).WithFields(logrus.Fields{"peer": target.VM, "path": path}).Info("broadcast not delivered to router")
 			}
 		}()
 	}
 }
 
-// call sends req to a router, decodes the response into reply unless that is nil, and records
+// Call sends req to a router, decodes the response into reply unless that is nil, and records
 // whether the router responded. It returns ErrNoResponse if the router did not respond or
 // responded with an error. An error of building the request has no such type.
-func (p *Peers) call(ctx context.Context, to Peer, path string, req, reply any) error {
+func (p *Peers) Call(ctx context.Context, to Peer, path string, req, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	data, err := json.Marshal(req)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -185,7 +185,7 @@
 	}
 	isolated := all["r1"]
 	for _, p := range isolated.peers.sample(3) {
-		_ = isolated.peers.call(context.Background(), p, PathPing, nil, nil)
+		_ = isolated.peers.Call(context.Background(), p, PathPing, nil, nil)
 	}
 	if !isolated.peers.Isolated(time.Now()) {
 		t.Fatal("Isolated() = false after failed calls to all 3 other routers")
--- a/internal/router/crashtracker.go
+++ b/internal/router/crashtracker.go
@@ -5,9 +5,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
@@ -82,11 +84,16 @@
 
 // checkCrash probes, in the background, an endpoint whose connection broke during a request.
 // If the endpoint accepts no connection, checkCrash counts a crash and reports it to all
-// routers.
-func (t *crashTracker) checkCrash(fingerprint quarantine.Fingerprint, endpoint *catalog.Endpoint) {
+// routers. It then calls done, unless that is nil.
+func (t *crashTracker) checkCrash(fingerprint quarantine.Fingerprint, endpoint *catalog.Endpoint, done func(probeResult)) {
 	go func() {
 		ctx := context.Background()
-		if sleep.For(ctx, crashProbeDelay) != nil || acceptsConnections(endpoint.Address) {
+		_ = sleep.For(ctx, crashProbeDelay) // This context does not end.
+		result := probe(endpoint.Address)
+		if done != nil {
+			defer done(result)
+		}
+		if result == probeAccepted {
 			return
 		}
 		c := crash{Fingerprint: fingerprint, Endpoint: endpoint.ID}
@@ -95,14 +102,28 @@
 	}()
 }
 
-// acceptsConnections reports whether a TCP connection to an address succeeds.
-func acceptsConnections(address string) bool {
+// probeResult is the result of a connection attempt to an endpoint.
+type probeResult int
+
+// Values of probeResult.
+const (
+	probeAccepted probeResult = iota
+	probeRefused              // The VM responds, but no process listens.
+	probeSilent               // The VM is unreachable.
+)
+
+// probe opens a TCP connection to an address and closes it.
+func probe(address string) probeResult {
 	conn, err := net.DialTimeout("tcp", address, crashProbeTimeout)
-	if err != nil {
-		return false // The process has ended, or its VM is unreachable.
+	switch {
+	case err == nil:
+		_ = conn.Close()
+		return probeAccepted
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return probeRefused
+	default:
+		return probeSilent
 	}
-	_ = conn.Close()
-	return true
 }
 
 // recordCrash counts a crash unless it was counted within quarantineDuration.
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -78,7 +78,7 @@
 		r.refuse(q, refusal.CodeNoEndpoint, "The route's service is not configured.", notReadyRetryAfter)
 		return false
 	}
-	return r.readBody(q) && r.checkQuarantine(q) && r.takeQuota(q)
+	return r.readBody(q) && r.checkQuarantine(q) && r.checkParts(q) && r.takeQuota(q)
 }
 
 // hostOnly returns the host without its port.
@@ -137,6 +137,60 @@
 	return false
 }
 
+// checkParts refuses a request with a prompt part on which engines crash. It returns false if it has
+// refused the request.
+func (r *Router) checkParts(q *request) bool {
+	v := r.beginParts(q)
+	if permits(v) {
+		return true
+	}
+	r.refuseParts(q, v)
+	return false
+}
+
+// beginParts decides whether a request may run with its prompt parts. A request on trial stays so.
+func (r *Router) beginParts(q *request) quarantine.PartVerdict {
+	if len(q.trial) > 0 {
+		return quarantine.PartVerdict{Verdict: quarantine.VerdictIsolate, Trial: q.trial}
+	}
+	v := r.parts.beginRun(q.sharedParts(), time.Now())
+	q.trial = v.Trial
+	return v
+}
+
+// permits reports whether a request may run.
+func permits(v quarantine.PartVerdict) bool {
+	return v.Verdict == quarantine.VerdictRun || v.Verdict == quarantine.VerdictIsolate
+}
+
+// refuseParts refuses a request because of a prompt part.
+func (r *Router) refuseParts(q *request, v quarantine.PartVerdict) {
+	r.counters.partsRefused.Inc(1)
+	q.addStep("part", v.Part)
+	if v.Verdict == quarantine.VerdictQuarantined {
+		r.refuse(q, refusal.CodeEndpointBusy, "A part of the prompt crashed each engine that ran it.", v.RetryAfter)
+		return
+	}
+	r.refuse(q, refusal.CodeEndpointBusy, "A part of the prompt may have crashed engines and is on trial.", suspectRetryAfter)
+}
+
+// checkCrash checks in the background whether an endpoint crashed during a request, and counts the
+// crash for the request. If the response had not begun before and only the endpoint's process ended, not
+// its VM, checkCrash also counts it for the prompt parts.
+func (r *Router) checkCrash(q *request, endpoint *catalog.Endpoint) {
+	c := partCrash{Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation}
+	if q.attemptBegunAt.IsZero() || time.Since(q.attemptBegunAt) < recentlyBegun {
+		c.Parts = q.sharedParts()
+	}
+	c.Trial = q.trial
+	r.crashTracker.checkCrash(q.fingerprint(), endpoint, func(result probeResult) {
+		if result == probeRefused {
+			r.parts.reportCrash(context.Background(), c)
+		}
+		r.parts.endTrial(c.Trial)
+	})
+}
+
 // fingerprint identifies equal requests of one organisation.
 func (q *request) fingerprint() quarantine.Fingerprint {
 	org := ""
@@ -178,6 +232,10 @@
 	took := time.Since(q.arrived)
 	if q.trace.outcome == "answered" && q.trace.status < http.StatusMultipleChoices {
 		r.crashTracker.recordSuccess(q.fingerprint)
+		r.parts.recordFinish(q.sharedParts())
+	}
+	if len(q.trial) > 0 && !q.trace.broken { // After a broken attempt, checkCrash ends the trial.
+		r.parts.endTrial(q.trial)
 	}
 	if q.in.Context().Err() != nil && q.trace.status == 0 {
 		q.trace.outcome = "caller_left"
--- /dev/null
+++ b/internal/router/partquarantine.go
@@ -0,0 +1,273 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/quarantine"
+	"github.com/hyssoptiller/hyssoptiller/internal/quota"
+	"github.com/hyssoptiller/hyssoptiller/internal/schedulerapi"
+)
+
+// Paths of the calls between routers about prompt parts.
+const (
+	pathPartCrashes  = "/parts/crashes"  // An engine crashed during requests with the parts.
+	pathPartFinishes = "/parts/finishes" // Asks for complete responses to requests with the parts.
+	pathPartChanges  = "/parts/changes"  // Parts were put in quarantine or cleared.
+	pathHeldParts    = "/parts/held"     // Asks for the parts that are suspects or in quarantine.
+)
+
+const (
+	// maxPartsBytes bounds a call about prompt parts, whose ids come from one request header.
+	maxPartsBytes = maxHeaderBytes
+	// recentlyBegun is the time since its first event within which a response that breaks off
+	// counts as one that had not begun.
+	recentlyBegun = 500 * time.Millisecond
+	// suspectRetryAfter is the Retry-After while another request with the part is on trial. A trial
+	// takes as long as one response.
+	suspectRetryAfter = time.Second
+)
+
+// partCrash reports that an engine crashed while it ran a request with these prompt parts.
+type partCrash struct {
+	Endpoint    catalog.EndpointID `json:"endpoint"`
+	Incarnation int64              `json:"incarnation"`
+	Parts       []string           `json:"parts"`
+	Trial       []string           `json:"trial,omitempty"` // The parts that the request was on trial for.
+}
+
+func (c partCrash) incarnation() string { return fmt.Sprintf("%s@%d", c.Endpoint, c.Incarnation) }
+
+// finishesRequest asks for complete responses since a time before the call.
+type finishesRequest struct {
+	Parts []partAge `json:"parts"`
+}
+
+type partAge struct {
+	Part  string `json:"part"`
+	AgeMS int64  `json:"ageMs"`
+}
+
+// finishesReply lists the parts of a finishesRequest with a complete response since, and those with
+// an earlier one.
+type finishesReply struct {
+	Finished []string `json:"finished"`
+	Proven   []string `json:"proven"`
+}
+
+// heldParts is the state of prompt parts at a router.
+type heldParts struct {
+	Parts []heldPart `json:"parts"`
+}
+
+type heldPart struct {
+	Part        string               `json:"part"`
+	State       quarantine.PartState `json:"state"`
+	RemainingMS int64                `json:"remainingMs"`
+	Quarantines int                  `json:"quarantines"`
+}
+
+func encodeHeldParts(parts []quarantine.HeldPart) heldParts {
+	out := heldParts{Parts: make([]heldPart, len(parts))}
+	for i, p := range parts {
+		out.Parts[i] = heldPart{Part: p.Part, State: p.State, RemainingMS: p.Remaining.Milliseconds(), Quarantines: p.Quarantines}
+	}
+	return out
+}
+
+// partQuarantine holds back prompt parts on which engines crash, together with the other routers.
+type partQuarantine struct {
+	peers *quota.Peers
+	log   *logrus.Entry
+
+	mu      sync.Mutex
+	tracker *quarantine.PartTracker
+}
+
+func newPartQuarantine(peers *quota.Peers, log *logrus.Entry) *partQuarantine {
+	return &partQuarantine{peers: peers, log: log, tracker: quarantine.NewPartTracker(quarantine.DefaultPartLimits())}
+}
+
+// beginRun decides whether a request with these parts may run.
+func (t *partQuarantine) beginRun(parts []string, now time.Time) quarantine.PartVerdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tracker.BeginRun(parts, func(part string, turn int) bool { return t.peers.Owns(part, turn, now) }, now)
+}
+
+// endTrial ends a trial without a result.
+func (t *partQuarantine) endTrial(parts []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tracker.EndTrial(parts)
+}
+
+// recordFinish records a complete response to a request with these parts.
+func (t *partQuarantine) recordFinish(parts []string) {
+	t.mu.Lock()
+	cleared := t.tracker.RecordFinish(parts, time.Now())
+	t.mu.Unlock()
+	if len(cleared) > 0 {
+		t.announceCleared(cleared)
+	}
+}
+
+// announceCleared logs that parts were cleared and tells the other routers.
+func (t *partQuarantine) announceCleared(parts []string) {
+	changes := make([]quarantine.HeldPart, len(parts))
+	for i, part := range parts {
+		changes[i] = quarantine.HeldPart{Part: part, State: quarantine.PartCleared}
+	}
+	t.logChanges(changes, "")
+	t.peers.Broadcast(context.Background(), pathPartChanges, encodeHeldParts(changes))
+}
+
+func (t *partQuarantine) logChanges(changes []quarantine.HeldPart, from string) {
+	for _, c := range changes {
+		t.log.WithFields(logrus.Fields{
+			"event": "prompt_part", "part": c.Part, "state": c.State, "ms": c.Remaining.Milliseconds(), "from": from,
+		}).Warn("state of a prompt part changed")
+	}
+}
+
+// reportCrash records the crash of an engine and reports it to the other routers.
+func (t *partQuarantine) reportCrash(ctx context.Context, c partCrash) {
+	if len(c.Parts) == 0 {
+		return
+	}
+	t.peers.Broadcast(ctx, pathPartCrashes, c)
+	if quarantined := t.recordCrash(ctx, c); len(quarantined) > 0 {
+		t.peers.Broadcast(ctx, pathPartChanges, encodeHeldParts(quarantined)) // For routers that missed an earlier trial.
+	}
+}
+
+// recordCrash counts a crash. A part that has reached the limit becomes a suspect unless another
+// router has received a complete response since the first crash. recordCrash returns the parts that the
+// crash of a trial puts in quarantine.
+func (t *partQuarantine) recordCrash(ctx context.Context, c partCrash) []quarantine.HeldPart {
+	now := time.Now()
+	t.mu.Lock()
+	quarantined := t.tracker.RecordTrialCrash(c.Trial, now)
+	t.logChanges(quarantined, "")
+	suspicions := t.tracker.RecordCrash(c.Parts, c.incarnation(), now)
+	t.mu.Unlock()
+	if len(suspicions) == 0 {
+		return quarantined
+	}
+	others := t.finishesElsewhere(ctx, suspicions, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range suspicions {
+		s.Proven = s.Proven || slices.Contains(others.Proven, s.Part)
+		if slices.Contains(others.Finished, s.Part) {
+			t.tracker.RecordFinish([]string{s.Part}, time.Now())
+		} else if t.tracker.Suspect(s, time.Now()) {
+			t.logChanges([]quarantine.HeldPart{{Part: s.Part, State: quarantine.PartSuspect}}, "")
+		}
+	}
+	return quarantined
+}
+
+// finishesElsewhere returns the parts to which other routers received a complete response since the
+// first crash, or before.
+func (t *partQuarantine) finishesElsewhere(ctx context.Context, suspicions []quarantine.Suspicion, now time.Time) finishesReply {
+	var req finishesRequest
+	for _, s := range suspicions {
+		req.Parts = append(req.Parts, partAge{Part: s.Part, AgeMS: now.Sub(s.Since).Milliseconds()})
+	}
+	var all finishesReply
+	t.peers.CallAll(ctx, pathPartFinishes, req, func(data json.RawMessage) {
+		var reply finishesReply
+		if err := json.Unmarshal(data, &reply); err != nil {
+			t.log.WithError(err).Warn("response of another router about prompt parts is invalid, ignored")
+			return
+		}
+		all.Finished = append(all.Finished, reply.Finished...)
+		all.Proven = append(all.Proven, reply.Proven...)
+	})
+	return all
+}
+
+// fetch adopts the parts that another router holds back. A router that has started knows none.
+func (t *partQuarantine) fetch(from quota.Peer) {
+	var reply heldParts
+	if err := t.peers.Call(context.Background(), from, pathHeldParts, struct{}{}, &reply); err != nil {
+		t.log.WithError(err).WithField("peer", from.VM).Info("prompt parts in quarantine not read from router")
+		return
+	}
+	t.apply(reply, from.VM)
+}
+
+// apply adopts the states of parts at another router.
+func (t *partQuarantine) apply(h heldParts, from string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range h.Parts {
+		part := quarantine.HeldPart{
+			Part: p.Part, State: p.State, Remaining: time.Duration(p.RemainingMS) * time.Millisecond, Quarantines: p.Quarantines,
+		}
+		if t.tracker.Apply(part, time.Now()) {
+			t.logChanges([]quarantine.HeldPart{part}, from)
+		}
+	}
+}
+
+// mount adds the handlers for the calls of other routers to r.
+func (t *partQuarantine) mount(r chi.Router) {
+	r.Post(pathPartCrashes, func(w http.ResponseWriter, req *http.Request) {
+		var c partCrash
+		if schedulerapi.DecodeRequest(w, req, maxPartsBytes, &c) {
+			go t.recordCrash(context.WithoutCancel(req.Context()), c)
+		}
+	})
+	r.Post(pathPartFinishes, func(w http.ResponseWriter, req *http.Request) {
+		var f finishesRequest
+		if schedulerapi.DecodeRequest(w, req, maxPartsBytes, &f) {
+			t.writeReply(w, t.finishes(f))
+		}
+	})
+	r.Post(pathPartChanges, func(w http.ResponseWriter, req *http.Request) {
+		var h heldParts
+		if schedulerapi.DecodeRequest(w, req, maxPartsBytes, &h) {
+			t.apply(h, req.RemoteAddr)
+		}
+	})
+	r.Post(pathHeldParts, func(w http.ResponseWriter, _ *http.Request) {
+		t.mu.Lock()
+		held := t.tracker.Held(time.Now())
+		t.mu.Unlock()
+		t.writeReply(w, encodeHeldParts(held))
+	})
+}
+
+func (t *partQuarantine) finishes(f finishesRequest) finishesReply {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	var reply finishesReply
+	for _, p := range f.Parts {
+		if t.tracker.FinishedSince(p.Part, now.Add(-time.Duration(p.AgeMS)*time.Millisecond)) {
+			reply.Finished = append(reply.Finished, p.Part)
+		}
+		if t.tracker.IsProven(p.Part, now) {
+			reply.Proven = append(reply.Proven, p.Part)
+		}
+	}
+	return reply
+}
+
+func (t *partQuarantine) writeReply(w http.ResponseWriter, reply any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(reply); err != nil {
+		t.log.WithError(err).Info("response about prompt parts not sent")
+	}
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -32,7 +32,10 @@
 	events       int                         // Events sent to the caller.
 	lastEventAt  time.Time                   // When the last event was sent to the caller.
 	lastEventID  string                      // ID of the last event sent to the caller.
-	trace        trace
+	// attemptBegunAt is the time of the first event of the current attempt; zero before it.
+	attemptBegunAt time.Time
+	trial          []string // Prompt parts that the request is on trial for.
+	trace          trace
 }
 
 // trace collects the facts for the request's log line and metrics.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,6 +67,7 @@
 	quota           *quota.Ledger
 	endpointLimits  *quota.EndpointLimits
 	crashTracker    *crashTracker
+	parts           *partQuarantine
 	budgets         *retryBudgets
 	streamLengths   *streamLengths
 	routing         routing.Config
@@ -94,6 +95,8 @@
 	r.quota = quota.NewLedger(r.peers, r.state.View, log)
 	r.endpointLimits = quota.NewEndpointLimits(r.peers, log)
 	r.crashTracker = newCrashTracker(r.peers, log)
+	r.parts = newPartQuarantine(r.peers, log)
+	r.peers.OnFound = r.parts.fetch
 	r.budgets = newRetryBudgets(s.RetryRatio, s.RetryBurst, r.peers.Count)
 	return r
 }
@@ -224,6 +227,7 @@
 	r.quota.Mount(router)
 	r.endpointLimits.Mount(router)
 	r.crashTracker.mount(router)
+	r.parts.mount(router)
 	return router
 }
 
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -64,6 +64,14 @@
 			}
 			break
 		}
+		if v := r.beginParts(q); !permits(v) {
+			p.release()
+			if q.possibleRuns == 0 {
+				r.refuseParts(q, v)
+				return
+			}
+			break
+		}
 		if q.delivered > 0 && !r.budgets.takeRetry(q.service.Name, time.Now()) {
 			q.addStep(p.endpoint.ID, "no_budget")
 			p.release()
@@ -109,6 +117,7 @@
 // sets no limit other than the deadline.
 func (r *Router) attempt(q *request, endpoint *catalog.Endpoint, version int64, silenceLimit time.Duration) (result, *response) {
 	q.tried[endpoint.ID] = true
+	q.attemptBegunAt = time.Time{}
 	r.endpointTracker.requestStarted(endpoint)
 	began := time.Now()
 	res, resp := r.send(q, endpoint, version, silenceLimit)
@@ -122,7 +131,7 @@
 	}
 	if res == resultBroken {
 		q.trace.broken = true
-		r.crashTracker.checkCrash(q.fingerprint(), endpoint)
+		r.checkCrash(q, endpoint)
 	}
 	return res, resp
 }
@@ -156,7 +165,7 @@
 	case resultUnreached, resultNotRun:
 		return q.possibleRuns == 0 || q.route.Idempotent()
 	case resultBroken, resultFailed:
-		return q.route.Idempotent() && q.possibleRuns < q.route.MaxAttempts
+		return q.route.Idempotent() && q.possibleRuns < q.route.MaxAttempts && len(q.trial) == 0
 	default:
 		return false
 	}
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -51,6 +51,9 @@
 	if q.events > 0 {
 		q.trace.longestGap = max(q.trace.longestGap, now.Sub(q.lastEventAt))
 	}
+	if q.attemptBegunAt.IsZero() {
+		q.attemptBegunAt = now
+	}
 	q.lastEventAt = now
 	q.events++
 	if e.ID != "" {
