router: an unframed stream without an event is not complete

A stream that comes with neither a length nor chunks ends with its connection. If the engine ended before the first event, the caller got 200 with an empty stream that looked complete, and no other engine was tried. It also counted as a complete response to the prompt parts of the request.

Cause: the end of the connection was taken as the end of the stream wherever it did not fall inside an event. Such a stream is now broken unless it had an event; a response that is framed may still be empty.

--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -22,6 +22,9 @@
 			resp.stream.SetReadTimeout(silenceLimit)
 		}
 		e, err := events.Next()
+		if err == io.EOF && q.attemptBegunAt.IsZero() && !resp.stream.SelfDelimited() {
+			return resultBroken // Without an event, the end of the connection is no evidence of a complete stream.
+		}
 		if err == io.EOF {
 			complete = true
 			r.endStream(q, resp)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -192,6 +192,10 @@
 	_ = r.exchange.conn.SetReadDeadline(time.Now().Add(d))
 }
 
+// SelfDelimited reports whether the response has a length or is chunked. Otherwise its end is that of the
+// connection, which also ends if the endpoint crashes.
+func (r *Response) SelfDelimited() bool { return selfDelimited(r.exchange.resp) }
+
 // Close ends the exchange. The connection returns to the pool only if keep is
 // true, the caller's context has not ended, the body was read to its end and
 // reusable returns true. keep means that the response belongs to the request.
