quota: a router whose calls are slow does not count as cut off

Routers whose calls to each other took longer than the timeout of 0.2 s admitted requests beyond an organisation's rate and burst: each its isolated share, at once the burst of 2 s. TestRoutersShareOneBucket failed by it once beside load (17 admitted, want 1 to 13).

Cause: a timeout was taken for a lost connection, although the quota owner had received the call and counted. A call now goes on after its timeout, and a late response shows that the other router is reachable. A router admits its reduced share only once it is cut off: it was isolated for 1 s without late responses, or the others refuse connections. Until then its requests are refused with a Retry-After. The owner is still replaced after 1 s, and a router that is cut off still stops counting as owner at once.

Evidence: TestQuotaHoldsIfAllRoutersRespondLate failed before (12 admitted, want at most 4) and passes; TestRouterThatIsCutOffAdmitsReducedRate shows that a cut off router serves again.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -143,8 +143,12 @@
 	}
 }
 
-// takeIsolated takes units from this router's reduced share of the rate.
+// takeIsolated takes units from this router's reduced share of the rate. Unless this router is cut
+// off, the quota owner may only respond late, and it counts for all routers.
 func (l *Ledger) takeIsolated(o *catalog.Organisation, units float64, now time.Time) Decision {
+	if !l.peers.CutOff(now) {
+		return Decision{RetryAfter: pingInterval, Isolated: true}
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	share := isolatedShare / float64(l.peers.Count())
--- a/internal/quota/peers.go
+++ b/internal/quota/peers.go
@@ -5,10 +5,12 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,6 +23,12 @@
 const (
 	// callTimeout bounds a call between routers of one region.
 	callTimeout = 200 * time.Millisecond
+	// lateTimeout is how long the response to a call that has timed out is still awaited, as evidence
+	// that the router is reachable. It is longer than cutOffDelay.
+	lateTimeout = 1200 * time.Millisecond
+	// cutOffDelay is how long a router must be isolated, without late responses either, until it
+	// counts as cut off rather than slow.
+	cutOffDelay = time.Second
 	// pingInterval and pingPeers determine how soon a router detects that it is isolated. The
 	// number of pings per router does not depend on the number of routers.
 	pingInterval = 400 * time.Millisecond
@@ -39,6 +47,9 @@
 	unlistedPeerTTL = 2 * time.Second
 )
 
+// maxReplyBytes bounds the response to a call between routers.
+const maxReplyBytes = 1 << 20
+
 // ErrNoResponse reports that a router did not respond to a call or responded with an error.
 const ErrNoResponse = errors.ConstError("call to router failed")
 
@@ -55,6 +66,7 @@
 	respondedAt      time.Time // Last successful call, or when the router was found.
 	calledAt         time.Time // Last call.
 	unreachableUntil time.Time // Not selected as a quota owner before this time.
+	refused          bool      // The last call failed because no process listens at the address.
 }
 
 // Peers holds the other routers and their state. It is safe for concurrent use.
@@ -71,12 +83,14 @@
 	leaving       bool             // This router drains and owns no quotas.
 	registeredAt  time.Time        // First registration of this router; zero before.
 	interruptedAt time.Time        // Last time at which this router was isolated or resumed from a suspension.
+	isolatedSince time.Time        // Zero while this router is not isolated.
+	lateAt        time.Time        // Last response that came after the timeout of its call.
 }
 
 // NewPeers returns an empty Peers for the router on the VM self.
 func NewPeers(self string, transport http.RoundTripper, log *logrus.Entry) *Peers {
 	return &Peers{
-		self: self, client: &http.Client{Transport: transport, Timeout: callTimeout}, log: log, byVM: make(map[string]*peer),
+		self: self, client: &http.Client{Transport: transport, Timeout: callTimeout + lateTimeout}, log: log, byVM: make(map[string]*peer),
 	}
 }
 
@@ -124,6 +138,7 @@
 				_ = p.Call(ctx, target, PathPing, nil, nil)
 			}()
 		}
+		p.Isolated(time.Now()) // Notices the start and the end of an isolation without requests.
 		p.removeUnlisted(time.Now())
 	}
 }
@@ -180,7 +195,24 @@
 func (p *Peers) Isolated(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	tried, silent := 0, 0
+	isolated, _ := p.isolation(now)
+	return isolated
+}
+
+// CutOff reports whether this router is isolated because it has lost its connections, or the other
+// processes have ended, rather than because they respond late. Until that is certain, the owner of a
+// quota may still count for it.
+func (p *Peers) CutOff(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isolated, allRefused := p.isolation(now)
+	return isolated && (allRefused || now.Sub(p.isolatedSince) >= cutOffDelay && now.Sub(p.lateAt) >= cutOffDelay)
+}
+
+// isolation implements Isolated and reports whether all routers that did not respond refused the
+// connection. The caller holds p.mu.
+func (p *Peers) isolation(now time.Time) (isolated, allRefused bool) {
+	tried, silent, refused := 0, 0, 0
 	for _, other := range p.byVM {
 		if now.Sub(other.calledAt) > unreachableDuration {
 			continue
@@ -188,13 +220,20 @@
 		tried++
 		if now.Before(other.unreachableUntil) {
 			silent++
+			if other.refused {
+				refused++
+			}
 		}
 	}
-	isolated := tried >= min(minTriedPeers, len(p.byVM)) && 2*silent > tried
-	if isolated {
-		p.interruptedAt = now
+	if tried < min(minTriedPeers, len(p.byVM)) || 2*silent <= tried {
+		p.isolatedSince = time.Time{}
+		return false, false
 	}
-	return isolated
+	if p.isolatedSince.IsZero() {
+		p.isolatedSince = now
+	}
+	p.interruptedAt = now
+	return true, refused == silent
 }
 
 // maxCandidates is the number of routers that may own an organisation's quota. A new owner asks
@@ -388,37 +427,73 @@
 }
 
 // Call sends req to a router, decodes the response into reply unless that is nil, and records
-// whether the router responded. It returns ErrNoResponse if the router did not respond or
-// responded with an error. An error of building the request has no such type.
+// whether the router responded within callTimeout. It returns ErrNoResponse if the router did not
+// or responded with an error. An error of building the request has no such type.
 func (p *Peers) Call(ctx context.Context, to Peer, path string, req, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	data, err := json.Marshal(req)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	type result struct {
+		body []byte
+		err  error
+	}
+	done := make(chan result, 1)
+	began := time.Now()
+	go func() {
+		body, err := p.post(context.WithoutCancel(ctx), to, path, data)
+		if err == nil && time.Since(began) > callTimeout {
+			p.recordLate()
+		}
+		done <- result{body, err}
+	}()
+	timeout := time.NewTimer(callTimeout)
+	defer timeout.Stop()
+	var r result
+	select {
+	case r = <-done:
+	case <-timeout.C:
+		r.err = errors.Errorf("POST %s of router %s: no response within %s", path, to.VM, callTimeout)
+	case <-ctx.Done():
+		r.err = ctx.Err()
+	}
+	if r.err == nil && reply != nil {
+		r.err = json.Unmarshal(r.body, reply)
+	}
+	p.recordCall(to, r.err)
+	if r.err != nil {
+		return errors.WithType(r.err, ErrNoResponse)
+	}
+	return nil
+}
+
+// post sends a call and returns the body of its response.
+func (p *Peers) post(ctx context.Context, to Peer, path string, data []byte) ([]byte, error) {
 	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Address+path, bytes.NewReader(data))
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	resp, err := p.client.Do(httpReq)
-	if err == nil {
-		defer resp.Body.Close()
-		if resp.StatusCode != http.StatusOK {
-			err = errors.Errorf("POST %s of router %s: status %d", path, to.VM, resp.StatusCode)
-		} else if reply != nil {
-			err = json.NewDecoder(resp.Body).Decode(reply)
-		}
-	}
-	p.recordCall(to, err == nil)
 	if err != nil {
-		return errors.WithType(err, ErrNoResponse)
+		return nil, err
 	}
-	return nil
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errors.Errorf("POST %s of router %s: status %d", path, to.VM, resp.StatusCode)
+	}
+	return body, err
+}
+
+// recordLate records a response that came after the timeout of its call.
+func (p *Peers) recordLate() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lateAt = time.Now()
 }
 
 // recordCall records the result of a call in the router's state.
-func (p *Peers) recordCall(to Peer, responded bool) {
+func (p *Peers) recordCall(to Peer, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	other := p.byVM[to.VM]
@@ -426,8 +501,8 @@
 		return
 	}
 	now := time.Now()
-	other.calledAt = now
-	if responded {
+	other.calledAt, other.refused = now, errors.Is(err, syscall.ECONNREFUSED)
+	if err == nil {
 		other.respondedAt = now
 		other.unreachableUntil = time.Time{}
 		return
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -312,3 +312,69 @@
 		t.Errorf("Take() of 600 units = %+v, want it admitted: the holder handed 900 over", d)
 	}
 }
+
+// isolate makes the calls of a router to all others fail and returns once it counts as isolated.
+func (r *testRouter) isolate(t *testing.T) {
+	t.Helper()
+	var calls sync.WaitGroup
+	for _, p := range r.peers.sample(r.peers.Count()) {
+		calls.Go(func() { _ = r.peers.Call(context.Background(), p, PathPing, nil, nil) })
+	}
+	calls.Wait()
+	if !r.peers.Isolated(time.Now()) {
+		t.Error("Isolated() = false after failed calls to all other routers")
+	}
+}
+
+// All routers respond, but later than the timeout of a call. None may take that for a loss of its
+// connections and admit requests beside the quota owner.
+func TestQuotaHoldsIfAllRoutersRespondLate(t *testing.T) {
+	o := &catalog.Organisation{Name: "smithy", Rate: 1000, Burst: 100}
+	all := newRouters(t, o, "r1", "r2", "r3")
+	for _, r := range all {
+		r.ledger.Take(context.Background(), o, 100) // Uses up the burst.
+	}
+	began := time.Now()
+	for _, r := range all {
+		r.delay.Store(int64(2 * callTimeout))
+	}
+	var isolated sync.WaitGroup
+	for _, r := range all {
+		isolated.Go(func() { r.isolate(t) })
+	}
+	isolated.Wait()
+	admitted := 0
+	for range 100 {
+		for _, r := range all {
+			if r.ledger.Take(context.Background(), o, 100).Admitted {
+				admitted++
+			}
+		}
+	}
+	if limit := int(o.Burst+o.Rate*time.Since(began).Seconds())/100 + 1; admitted > limit {
+		t.Errorf("routers admitted %d requests of 100 units, want at most %d", admitted, limit)
+	}
+}
+
+// A router that is cut off gets no responses at all. It admits its reduced share once that has lasted
+// for cutOffDelay.
+func TestRouterThatIsCutOffAdmitsReducedRate(t *testing.T) {
+	o := &catalog.Organisation{Name: "smithy", Rate: 1000, Burst: 1000}
+	all := newRouters(t, o, "r1", "r2", "r3", "r4")
+	for name, r := range all {
+		if name != "r1" {
+			r.delay.Store(int64(3 * cutOffDelay))
+		}
+	}
+	r := all["r1"]
+	admitted := 0.0
+	for began := time.Now(); time.Since(began) < 2*cutOffDelay; {
+		r.isolate(t)
+		if r.ledger.Take(context.Background(), o, 10).Admitted {
+			admitted += 10
+		}
+	}
+	if limit := o.Rate * isolatedShare / 4 * (isolatedBurstSeconds + 2*cutOffDelay.Seconds()); admitted == 0 || admitted > limit {
+		t.Errorf("router that is cut off admitted %.0f units, want some and at most %.0f", admitted, limit)
+	}
+}
