availability: what endpoints say about their availability is a pure decision

Draining and Retry-After of endpoints were kept in two maps of the router.

The decision is now policy/availability, which follows the latest incarnation that said something. Two counters show how many endpoints began to drain or pushed back.

--- /dev/null
+++ b/internal/policy/availability/availability.go
@@ -0,0 +1,62 @@
+package availability
+
+import "time"
+
+// Signals are what an endpoint says about itself in a response.
+type Signals struct {
+	Draining   bool          // It takes no new requests.
+	RetryAfter time.Duration // How long it wants no requests after a refusal; 0 if it set no time.
+}
+
+// State is the availability of one endpoint. Responses may arrive in any order, also late ones of a
+// former incarnation. The zero value is an endpoint that has said nothing.
+type State struct {
+	incarnation int64 // Latest incarnation that said something.
+	draining    bool
+	until       time.Time // The endpoint wants no requests before this time.
+	observedAt  time.Time // Last signal.
+}
+
+// Change reports which signals of a response are news.
+type Change struct {
+	Draining   bool // The endpoint began to drain.
+	PushedBack bool // The endpoint was used until now and wants no requests for a time.
+}
+
+// Observe records the signals in a response that arrived now from an incarnation.
+func (s *State) Observe(incarnation int64, signals Signals, now time.Time) Change {
+	if signals == (Signals{}) || incarnation < s.incarnation {
+		return Change{}
+	}
+	if incarnation > s.incarnation {
+		*s = State{incarnation: incarnation}
+	}
+	s.observedAt = now
+	change := Change{
+		Draining:   signals.Draining && !s.draining,
+		PushedBack: signals.RetryAfter > 0 && !now.Before(s.until),
+	}
+	s.draining = s.draining || signals.Draining
+	if until := now.Add(signals.RetryAfter); until.After(s.until) {
+		s.until = until
+	}
+	return change
+}
+
+// Drains reports whether an incarnation takes no new requests. A former incarnation takes none.
+func (s *State) Drains(incarnation int64) bool {
+	return incarnation < s.incarnation || incarnation == s.incarnation && s.draining
+}
+
+// Wait returns how long an incarnation wants no requests.
+func (s *State) Wait(incarnation int64, now time.Time) time.Duration {
+	if incarnation != s.incarnation {
+		return 0
+	}
+	return max(s.until.Sub(now), 0)
+}
+
+// IsExpired reports whether the state has not changed for retention and no longer matters.
+func (s *State) IsExpired(now time.Time, retention time.Duration) bool {
+	return now.Sub(s.observedAt) > retention && !now.Before(s.until)
+}
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -10,13 +10,15 @@
 
 // Counters holds the router's metrics.
 type Counters struct {
-	scope        tally.Scope
-	firstByte    tally.Histogram
-	duration     tally.Histogram
-	grantWait    tally.Histogram
-	connections  tally.Counter
-	rateLimited  tally.Counter // Plain endpoints left out for a request because of their rate limits.
-	partsRefused tally.Counter // Requests refused because of a prompt part on which engines crash.
+	scope             tally.Scope
+	firstByte         tally.Histogram
+	duration          tally.Histogram
+	grantWait         tally.Histogram
+	connections       tally.Counter
+	rateLimited       tally.Counter // Plain endpoints left out for a request because of their rate limits.
+	endpointsDraining tally.Counter // Endpoints that said in a response that they drain.
+	endpointPushbacks tally.Counter // Refusals with a Retry-After of endpoints that were in use.
+	partsRefused      tally.Counter // Requests refused because of a prompt part on which engines crash.
 }
 
 // latencyBuckets are the histogram bounds, from a short lookup to the longest stream.
@@ -28,13 +30,15 @@
 // NewCounters registers the router's metrics in scope.
 func NewCounters(scope tally.Scope) *Counters {
 	return &Counters{
-		scope:        scope,
-		firstByte:    scope.Histogram("first_byte_seconds", latencyBuckets),
-		duration:     scope.Histogram("request_seconds", latencyBuckets),
-		grantWait:    scope.Histogram("turn_wait_seconds", latencyBuckets),
-		connections:  scope.Counter("endpoint_connections_total"),
-		rateLimited:  scope.Counter("endpoint_rate_limited_total"),
-		partsRefused: scope.Counter("prompt_parts_refused_total"),
+		scope:             scope,
+		firstByte:         scope.Histogram("first_byte_seconds", latencyBuckets),
+		duration:          scope.Histogram("request_seconds", latencyBuckets),
+		grantWait:         scope.Histogram("turn_wait_seconds", latencyBuckets),
+		connections:       scope.Counter("endpoint_connections_total"),
+		rateLimited:       scope.Counter("endpoint_rate_limited_total"),
+		endpointsDraining: scope.Counter("endpoints_draining_total"),
+		endpointPushbacks: scope.Counter("endpoint_pushbacks_total"),
+		partsRefused:      scope.Counter("prompt_parts_refused_total"),
 	}
 }
 
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -5,33 +5,21 @@
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/availability"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/routing"
 )
 
 // endpointTracker keeps the health and the load of each endpoint as this router observes them.
 type endpointTracker struct {
-	mu       sync.Mutex
-	byID     map[catalog.EndpointID]*endpointStats
-	draining map[catalog.EndpointID]drainingEndpoint // Endpoints that said in a response that they drain.
-	pushback map[catalog.EndpointID]pushback         // Endpoints that refused a request for a time.
+	mu           sync.Mutex
+	byID         map[catalog.EndpointID]*endpointStats
+	availability map[catalog.EndpointID]*availability.State // Of endpoints that said something about it.
 }
 
-// pushback is how long an incarnation wants no requests from this router.
-type pushback struct {
-	incarnation int64
-	until       time.Time
-}
-
-// drainingEndpoint is an incarnation that drains, and when a response said so last.
-type drainingEndpoint struct {
-	incarnation int64
-	at          time.Time
-}
-
-// drainingRetention is how long an endpoint that drains is remembered after its last response. It
-// exceeds the time for which endpoints serve on after they started to drain.
-const drainingRetention = 10 * time.Minute
+// availabilityRetention is how long the availability of an endpoint is kept after its last signal.
+// It exceeds the time for which endpoints serve on after they started to drain.
+const availabilityRetention = 10 * time.Minute
 
 // endpointStats is what this router has observed of one endpoint.
 type endpointStats struct {
@@ -44,8 +32,8 @@
 
 func newEndpointTracker() *endpointTracker {
 	return &endpointTracker{
-		byID: make(map[catalog.EndpointID]*endpointStats), draining: make(map[catalog.EndpointID]drainingEndpoint),
-		pushback: make(map[catalog.EndpointID]pushback),
+		byID:         make(map[catalog.EndpointID]*endpointStats),
+		availability: make(map[catalog.EndpointID]*availability.State),
 	}
 }
 
@@ -77,41 +65,36 @@
 	return former.Limit != limit
 }
 
-// markDraining records that an incarnation drains. It reports whether that is new.
-func (e *endpointTracker) markDraining(ep *catalog.Endpoint, now time.Time) bool {
+// observeAvailability records what an endpoint says about its availability in a response that
+// arrived now.
+func (e *endpointTracker) observeAvailability(ep *catalog.Endpoint, signals availability.Signals, now time.Time) availability.Change {
+	if signals == (availability.Signals{}) {
+		return availability.Change{}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	known := e.isDraining(ep)
-	e.draining[ep.ID] = drainingEndpoint{incarnation: ep.Incarnation, at: now}
-	return !known
+	state := e.availability[ep.ID]
+	if state == nil {
+		state = &availability.State{}
+		e.availability[ep.ID] = state
+	}
+	return state.Observe(ep.Incarnation, signals, now)
 }
 
 // isDraining reports whether an endpoint takes no new requests, by its registration or its
 // responses. The caller holds e.mu.
 func (e *endpointTracker) isDraining(ep *catalog.Endpoint) bool {
-	d, ok := e.draining[ep.ID]
-	return ep.Draining || ok && d.incarnation == ep.Incarnation
-}
-
-// setPushback records that an endpoint wants no requests before a time. An earlier time than the
-// recorded one is ignored. It reports whether the endpoint was used until now.
-func (e *endpointTracker) setPushback(ep *catalog.Endpoint, until, now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	former := e.pushbackWait(ep, now)
-	if now.Add(former).Before(until) {
-		e.pushback[ep.ID] = pushback{incarnation: ep.Incarnation, until: until}
-	}
-	return former == 0
+	state := e.availability[ep.ID]
+	return ep.Draining || state != nil && state.Drains(ep.Incarnation)
 }
 
 // pushbackWait returns how long an endpoint wants no requests. The caller holds e.mu.
 func (e *endpointTracker) pushbackWait(ep *catalog.Endpoint, now time.Time) time.Duration {
-	p := e.pushback[ep.ID]
-	if p.incarnation != ep.Incarnation {
+	state := e.availability[ep.ID]
+	if state == nil {
 		return 0
 	}
-	return max(p.until.Sub(now), 0)
+	return state.Wait(ep.Incarnation, now)
 }
 
 // usable reports whether an endpoint may receive a request now: it neither drains nor wants none
@@ -167,14 +150,9 @@
 func (e *endpointTracker) sync(v *catalog.View, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for id, d := range e.draining {
-		if now.Sub(d.at) > drainingRetention {
-			delete(e.draining, id)
-		}
-	}
-	for id, p := range e.pushback {
-		if now.After(p.until) {
-			delete(e.pushback, id)
+	for id, state := range e.availability {
+		if state.IsExpired(now, availabilityRetention) {
+			delete(e.availability, id)
 		}
 	}
 	for id, s := range e.byID {
--- a/internal/router/endpoints_test.go
+++ b/internal/router/endpoints_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/availability"
 )
 
 // An endpoint that said in a response that it drains stays so until its next incarnation, also if
@@ -15,8 +16,9 @@
 	if !tracker.usable(endpoint, now) {
 		t.Fatal("endpoint drains before it said so")
 	}
-	if !tracker.markDraining(endpoint, now) || tracker.markDraining(endpoint, now) {
-		t.Error("markDraining: want the first response to be new and the second not")
+	draining := availability.Signals{Draining: true}
+	if !tracker.observeAvailability(endpoint, draining, now).Draining || tracker.observeAvailability(endpoint, draining, now).Draining {
+		t.Error("observeAvailability: want the first response to be new and the second not")
 	}
 	tracker.sync(catalog.NewState().View(), now.Add(time.Second))
 	if tracker.usable(endpoint, now) || len(tracker.plainCandidates([]*catalog.Endpoint{endpoint}, nil, now)) > 0 {
@@ -33,8 +35,11 @@
 	tracker, now := newEndpointTracker(), time.Unix(1000, 0)
 	endpoint := &catalog.Endpoint{ID: "e", Service: "s", Incarnation: 5}
 	list := []*catalog.Endpoint{endpoint}
-	if !tracker.setPushback(endpoint, now.Add(4*time.Second), now) || tracker.setPushback(endpoint, now.Add(time.Second), now) {
-		t.Error("setPushback: want the endpoint to be in use before the first call only")
+	pushback := func(d time.Duration) bool {
+		return tracker.observeAvailability(endpoint, availability.Signals{RetryAfter: d}, now).PushedBack
+	}
+	if !pushback(4*time.Second) || pushback(time.Second) {
+		t.Error("observeAvailability: want the endpoint to be in use before the first response only")
 	}
 	tracker.sync(catalog.NewState().View(), now.Add(3*time.Second))
 	later := now.Add(3 * time.Second)
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/availability"
 	"github.com/hyssoptiller/hyssoptiller/internal/upstream"
 	"github.com/hyssoptiller/hyssoptiller/platform"
 )
@@ -56,8 +57,7 @@
 	head := platform.ParseResponseHead(upResp.Status, upResp.Header)
 	if upResp.Status != http.StatusMisdirectedRequest { // 421 may come from another endpoint at the address.
 		r.observeRateLimit(endpoint, upResp)
-		r.observeDraining(endpoint, head)
-		r.observePushback(endpoint, head)
+		r.observeAvailability(endpoint, head)
 	}
 	if !head.NotExecuted {
 		q.possibleRuns++
@@ -87,22 +87,20 @@
 	}
 }
 
-// observeDraining records that an endpoint says in a response that it drains.
-func (r *Router) observeDraining(endpoint *catalog.Endpoint, head platform.ResponseHead) {
-	if head.Draining && r.endpointTracker.markDraining(endpoint, time.Now()) {
-		r.log.WithFields(logrus.Fields{
-			"event": "endpoint_draining", "endpoint": endpoint.ID, "service": endpoint.Service,
-		}).Info("endpoint says that it drains")
+// observeAvailability records whether an endpoint says that it drains or wants no requests for a
+// time.
+func (r *Router) observeAvailability(endpoint *catalog.Endpoint, head platform.ResponseHead) {
+	signals := availability.Signals{Draining: head.Draining, RetryAfter: head.RetryAfter}
+	change := r.endpointTracker.observeAvailability(endpoint, signals, time.Now())
+	log := r.log.WithFields(logrus.Fields{"endpoint": endpoint.ID, "service": endpoint.Service})
+	if change.Draining {
+		r.counters.endpointsDraining.Inc(1)
+		log.WithField("event", "endpoint_draining").Info("endpoint says that it drains")
 	}
-}
-
-// observePushback records that an endpoint wants no requests for a time.
-func (r *Router) observePushback(endpoint *catalog.Endpoint, head platform.ResponseHead) {
-	now := time.Now()
-	if head.RetryAfter > 0 && r.endpointTracker.setPushback(endpoint, now.Add(head.RetryAfter), now) {
-		r.log.WithFields(logrus.Fields{
-			"event": "endpoint_pushback", "endpoint": endpoint.ID, "service": endpoint.Service, "ms": head.RetryAfter.Milliseconds(),
-		}).Info("endpoint wants no requests for a time")
+	if change.PushedBack {
+		r.counters.endpointPushbacks.Inc(1)
+		log.WithFields(logrus.Fields{"event": "endpoint_pushback", "ms": head.RetryAfter.Milliseconds()}).
+			Info("endpoint wants no requests for a time")
 	}
 }
 
