scheduler: an engine's Retry-After is observed

An engine that refused its scheduler's reports and orders with 503 and a Retry-After went on to get them: 8 in 2.5 s, want at most 2. The scheduler also took the engine for lost, so that requests for adapters that it holds were refused.

The scheduler now sends no reports and orders until then. Requests for loaded adapters are granted; those that would have to wait longer for a load than they may are refused at once, also queued ones. The next incarnation is free of it.

--- a/internal/policy/availability/availability.go
+++ b/internal/policy/availability/availability.go
@@ -1,6 +1,9 @@
 package availability
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Signals are what an endpoint says about itself in a response.
 type Signals struct {
@@ -8,6 +11,16 @@
 	RetryAfter time.Duration // How long it wants no requests after a refusal; 0 if it set no time.
 }
 
+// RefusedError is the error of a call that an endpoint refused for a time.
+type RefusedError struct {
+	RetryAfter time.Duration // How long the endpoint wants no calls.
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("endpoint refused the call for %s", e.RetryAfter)
+}
+
 // State is the availability of one endpoint. Responses may arrive in any order, also late ones of a
 // former incarnation. The zero value is an endpoint that has said nothing.
 type State struct {
--- a/internal/policy/grants/machine.go
+++ b/internal/policy/grants/machine.go
@@ -77,6 +77,7 @@
 	outstanding   *Order
 	unconfirmed   *Order // The last order, if its outcome is unknown. It is repeated before any other.
 	noOrderBefore time.Time
+	pausedUntil   time.Time // The engine wants no orders before.
 	lastModelLoad time.Time
 	needsReport   bool // No order is issued before the next report.
 	decisions     []Decision
@@ -149,6 +150,19 @@
 	m.refuseQueue(RefusalEngineUnreachable, now)
 }
 
+// PauseOrders stops the orders to the engine until a time. Queued requests that would wait longer for
+// their adapter than they may are refused.
+func (m *Machine) PauseOrders(until, now time.Time) {
+	m.pausedUntil = until
+	m.queue = slices.DeleteFunc(m.queue, func(q *queuedRequest) bool {
+		if m.usable(q.request.Key, now) || !q.queuedAt.Add(q.request.MaxWait).Before(until) {
+			return false
+		}
+		m.refuseQueued(q, RefusalTooLate, until.Sub(now), now)
+		return true
+	})
+}
+
 // Draining reports whether the engine takes no new requests.
 func (m *Machine) Draining() bool { return m.draining }
 
@@ -233,7 +247,7 @@
 	m.prefills.clear()
 	m.lateEvents = lateEvents{}
 	m.rate = ratelimit.Limiter{}
-	m.draining = false
+	m.draining, m.pausedUntil = false, time.Time{}
 	for _, g := range m.grants {
 		m.grantedTokens -= g.request.PromptTokens + g.request.MaxOutputTokens
 	}
@@ -425,7 +439,7 @@
 		return m.meanRunTime, RefusalVersionReplaced
 	}
 	if !m.usable(r.Key, now) {
-		wait = max(wait, m.expectedLoadTime(r)+m.adapterSlotWait(r.Key))
+		wait = max(wait, m.expectedLoadTime(r)+m.adapterSlotWait(r.Key)+max(m.pausedUntil.Sub(now), 0))
 	}
 	rateWait := m.rate.Wait(len(m.queue), now)
 	switch accepted := m.acceptedWait(r, prefillMS); {
--- a/internal/policy/grants/machine_test.go
+++ b/internal/policy/grants/machine_test.go
@@ -529,3 +529,29 @@
 		t.Errorf("request to the next incarnation: refusal = %q, want a grant", refusal)
 	}
 }
+
+// An engine that wants no calls for a time gets no orders until then. A request that would wait longer
+// for its adapter than it may is refused at once, also if it is queued already; the adapters that are
+// loaded are granted.
+func TestPausedEngineGetsNoOrders(t *testing.T) {
+	m := newTestMachine(2)
+	queued := Request{ID: 1, Key: adapterKey(1), PromptTokens: 10, MaxWait: time.Second}
+	m.RequestGrant(queued, at(10))
+	m.PauseOrders(at(3000), at(20))
+	if d := m.TakeDecisions(); len(d) != 1 || d[0].Refusal != RefusalTooLate {
+		t.Errorf("decisions on the queued request = %+v, want a refusal", d)
+	}
+	if o, ok := m.NextOrder(at(2990)); ok {
+		t.Errorf("order during the pause = %+v, want none", o)
+	}
+	m.RequestGrant(Request{ID: 2, Key: adapterKey(2), PromptTokens: 10, MaxWait: time.Second}, at(30))
+	m.RequestGrant(Request{ID: 3, Key: catalog.AdapterKey{Model: "base"}, PromptTokens: 10, MaxWait: time.Second}, at(40))
+	d := m.TakeDecisions()
+	if len(d) != 2 || d[0].Refusal != RefusalTooLate || !d[1].Granted {
+		t.Errorf("decisions during the pause = %+v, want the load refused and the base model granted", d)
+	}
+	m.RequestGrant(Request{ID: 4, Key: adapterKey(4), PromptTokens: 10, MaxWait: time.Second}, at(3000))
+	if _, ok := m.NextOrder(at(3000)); !ok {
+		t.Error("no order after the pause")
+	}
+}
--- a/internal/policy/grants/orders.go
+++ b/internal/policy/grants/orders.go
@@ -14,7 +14,7 @@
 // NextOrder returns the order to send now, or false if there is none. The caller
 // must report its outcome to CompleteOrder before NextOrder returns another one.
 func (m *Machine) NextOrder(now time.Time) (Order, bool) {
-	if !m.alive || m.needsReport || m.outstanding != nil || now.Before(m.noOrderBefore) {
+	if !m.alive || m.needsReport || m.outstanding != nil || now.Before(m.noOrderBefore) || now.Before(m.pausedUntil) {
 		return Order{}, false
 	}
 	if m.unconfirmed != nil {
--- a/internal/scheduler/counters.go
+++ b/internal/scheduler/counters.go
@@ -12,6 +12,7 @@
 type Counters struct {
 	grants     tally.Counter
 	coldGrants tally.Counter
+	pushbacks  tally.Counter // Calls that the engine refused with a Retry-After.
 	scope      tally.Scope
 	grantWait  tally.Histogram
 }
@@ -28,6 +29,7 @@
 	return &Counters{
 		grants:     scope.Counter("turns_granted_total"),
 		coldGrants: scope.Counter("turns_after_load_total"),
+		pushbacks:  scope.Counter("engine_pushbacks_total"),
 		grantWait:  scope.Histogram("turn_wait_seconds", waitBuckets),
 		scope:      scope,
 	}
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -5,9 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/availability"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 )
@@ -52,6 +54,7 @@
 	failures     int                                       // Consecutive failed reports; used by the Serve loop only.
 	rateLimit    ratelimit.Limit                           // Last logged rate limit of the engine.
 	draining     bool                                      // Last logged state of the engine.
+	pausedUntil  time.Time                                 // The incarnation wants no calls before.
 
 	wake    chan struct{} // Wakes the Serve loop after a change.
 	changed *broadcast    // Notifies the snapshot streams of a change.
@@ -72,10 +75,12 @@
 func (e *Engine) Serve(ctx context.Context) error {
 	reportAt := time.Now()
 	for ctx.Err() == nil {
-		if e.sendNextOrder(ctx) {
+		now := time.Now()
+		if paused := e.paused(); now.Before(paused) {
+			reportAt = paused
+		} else if e.sendNextOrder(ctx) {
 			continue
 		}
-		now := time.Now()
 		if !now.Before(reportAt) {
 			e.fetchReport(ctx)
 			reportAt = time.Now().Add(e.reportInterval())
@@ -136,6 +141,7 @@
 	if err != nil {
 		log = log.WithError(err)
 	}
+	e.pauseIfRefused(err)
 	log.WithFields(logrus.Fields{
 		"event": "order", "unload": o.Unload, "model": o.Key.Model, "adapter": o.Key.Adapter, "version": o.Version,
 		"sequence": o.Sequence, "outcome": outcome.String(), "took_ms": time.Since(began).Milliseconds(),
@@ -158,7 +164,7 @@
 		e.update(func(now time.Time) { e.machine.ApplyReport(r, now) })
 		return
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || e.pauseIfRefused(err) {
 		return
 	}
 	e.failures++
@@ -169,6 +175,31 @@
 	e.update(e.machine.MarkUnreachable)
 }
 
+// pauseIfRefused stops all calls to the engine for the time for which it refused a call. It reports
+// whether err is such a refusal. An engine that refuses calls is running.
+func (e *Engine) pauseIfRefused(err error) bool {
+	var refused *availability.RefusedError
+	if !errors.As(err, &refused) {
+		return false
+	}
+	e.counters.pushbacks.Inc(1)
+	e.log.WithFields(logrus.Fields{
+		"event": "endpoint_pushback", "endpoint": e.endpointID, "ms": refused.RetryAfter.Milliseconds(),
+	}).Info("engine wants no calls for a time")
+	e.update(func(now time.Time) {
+		e.pausedUntil = now.Add(refused.RetryAfter)
+		e.machine.PauseOrders(e.pausedUntil, now)
+	})
+	return true
+}
+
+// paused returns the time before which the engine wants no calls.
+func (e *Engine) paused() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pausedUntil
+}
+
 // engineReachable records a successful report. If the engine has a new incarnation, its
 // endpoint ID must be looked up again.
 func (e *Engine) engineReachable(r grants.Report) {
@@ -242,6 +273,9 @@
 		if incarnation != 0 && incarnation == e.machine.Incarnation() {
 			e.endpointID = id
 		}
+		if incarnation > e.machine.Incarnation() {
+			e.pausedUntil = time.Time{} // The engine has restarted.
+		}
 		e.machine.ObserveRateLimit(incarnation, limit)
 		e.machine.AnnounceVersion(request.Key, version, now)
 		e.lastGrantID++
