--- a/internal/router/partquarantine.go
+++ b/internal/router/partquarantine.go
@@ -35,6 +35,9 @@
 	// suspectRetryAfter is the Retry-After while another request with the part is on trial. A trial
 	// takes as long as one response.
 	suspectRetryAfter = time.Second
+	// maxFetches is the number of routers from which a starting router reads the parts that they hold
+	// back. Some of them may have just started too.
+	maxFetches = 3
 )
 
 // partCrash reports that an engine crashed while it ran a request with these prompt parts.
@@ -91,6 +94,7 @@
 
 	mu      sync.Mutex
 	tracker *quarantine.PartTracker
+	fetches int // Routers asked for the parts that they hold back.
 }
 
 func newPartQuarantine(peers *quota.Peers, log *logrus.Entry) *partQuarantine {
@@ -197,8 +201,16 @@
 	return all
 }
 
-// fetch adopts the parts that another router holds back. A router that has started knows none.
+// fetch adopts the parts that another router holds back, unless maxFetches routers were asked before.
+// A router that has started knows none.
 func (t *partQuarantine) fetch(from quota.Peer) {
+	t.mu.Lock()
+	t.fetches++
+	enough := t.fetches > maxFetches
+	t.mu.Unlock()
+	if enough {
+		return
+	}
 	var reply heldParts
 	if err := t.peers.Call(context.Background(), from, pathHeldParts, struct{}{}, &reply); err != nil {
 		t.log.WithError(err).WithField("peer", from.VM).Info("prompt parts in quarantine not read from router")
