router: one report for a crash and its prompt parts

Each request that an endpoint broke off was reported to all routers twice, for itself and for its prompt parts, and each router asked all others again at each further crash of a suspected part. When many engines end at once that is a burst of calls.

The parts are in the report of the crash now. A part is asked for once, after 0.3 s in which this router usually has a complete response that proves it.

--- a/internal/policy/quarantine/parts.go
+++ b/internal/policy/quarantine/parts.go
@@ -105,7 +105,7 @@
 			r.firstCrash = now
 		}
 		r.crashed = append(r.crashed, incarnation)
-		if len(r.crashed) >= t.limits.CrashesToSuspect {
+		if len(r.crashed) == t.limits.CrashesToSuspect { // Further crashes do not repeat the suspicion.
 			out = append(out, Suspicion{Part: id, Since: r.firstCrash, Proven: t.isProven(r, now)})
 		}
 	}
--- a/internal/router/crashtracker.go
+++ b/internal/router/crashtracker.go
@@ -40,9 +40,19 @@
 	Endpoint    catalog.EndpointID     `json:"endpoint"`
 }
 
+// crashReport reports a crash to other routers. Parts is set if it counts for prompt parts too.
+type crashReport struct {
+	crash
+	Parts *partCrash `json:"parts,omitempty"`
+}
+
 // crashTracker finds requests that crash the endpoints that run them. A crash of an endpoint
 // counts once for each distinct request that ran there.
 type crashTracker struct {
+	// OnPartCrash is called in the background for each reported crash that counts for prompt parts. It may
+	// be nil.
+	OnPartCrash func(partCrash)
+
 	peers *quota.Peers
 	log   *logrus.Entry
 
@@ -84,24 +94,34 @@
 
 // checkCrash probes, in the background, an endpoint whose connection broke during a request.
 // If the endpoint accepts no connection, checkCrash counts a crash and reports it to all
-// routers. It then calls done, unless that is nil.
-func (t *crashTracker) checkCrash(fingerprint quarantine.Fingerprint, endpoint *catalog.Endpoint, done func(probeResult)) {
+// routers. If only the process has ended, not its VM, the crash counts for the prompt parts too.
+// checkCrash then calls done, unless that is nil.
+func (t *crashTracker) checkCrash(fingerprint quarantine.Fingerprint, endpoint *catalog.Endpoint, parts partCrash, done func()) {
 	go func() {
 		ctx := context.Background()
 		_ = sleep.For(ctx, crashProbeDelay) // This context does not end.
-		result := probe(endpoint.Address)
-		if done != nil {
-			defer done(result)
+		if result := probe(endpoint.Address); result != probeAccepted {
+			report := crashReport{crash: crash{Fingerprint: fingerprint, Endpoint: endpoint.ID}}
+			if result == probeRefused && len(parts.Parts) > 0 {
+				report.Parts = &parts
+			}
+			t.peers.Broadcast(ctx, pathCrash, report)
+			t.recordReport(report)
 		}
-		if result == probeAccepted {
-			return
+		if done != nil {
+			done()
 		}
-		c := crash{Fingerprint: fingerprint, Endpoint: endpoint.ID}
-		t.recordCrash(c)
-		t.peers.Broadcast(ctx, pathCrash, c)
 	}()
 }
 
+// recordReport records a crash that this router or another one has noticed.
+func (t *crashTracker) recordReport(report crashReport) {
+	t.recordCrash(report.crash)
+	if report.Parts != nil && t.OnPartCrash != nil {
+		t.OnPartCrash(*report.Parts)
+	}
+}
+
 // probeResult is the result of a connection attempt to an endpoint.
 type probeResult int
 
@@ -149,9 +169,9 @@
 // mount adds the handler for crash reports of other routers to r.
 func (t *crashTracker) mount(r chi.Router) {
 	r.Post(pathCrash, func(w http.ResponseWriter, req *http.Request) {
-		var c crash
-		if schedulerapi.DecodeRequest(w, req, schedulerapi.MaxPeerCallBytes, &c) {
-			t.recordCrash(c)
+		var report crashReport
+		if schedulerapi.DecodeRequest(w, req, maxPartsBytes, &report) {
+			go t.recordReport(report)
 		}
 	})
 }
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -175,20 +175,13 @@
 }
 
 // checkCrash checks in the background whether an endpoint crashed during a request, and counts the
-// crash for the request. If the response had not begun before and only the endpoint's process ended, not
-// its VM, checkCrash also counts it for the prompt parts.
+// crash for the request and, unless its response had begun before, for its prompt parts.
 func (r *Router) checkCrash(q *request, endpoint *catalog.Endpoint) {
-	c := partCrash{Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation}
+	c := partCrash{Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, Trial: q.trial}
 	if q.attemptBegunAt.IsZero() || time.Since(q.attemptBegunAt) < recentlyBegun {
 		c.Parts = q.sharedParts()
 	}
-	c.Trial = q.trial
-	r.crashTracker.checkCrash(q.fingerprint(), endpoint, func(result probeResult) {
-		if result == probeRefused {
-			r.parts.reportCrash(context.Background(), c)
-		}
-		r.parts.endTrial(c.Trial)
-	})
+	r.crashTracker.checkCrash(q.fingerprint(), endpoint, c, func() { r.parts.endTrial(c.Trial) })
 }
 
 // fingerprint identifies equal requests of one organisation.
--- a/internal/router/partquarantine.go
+++ b/internal/router/partquarantine.go
@@ -16,11 +16,11 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/quarantine"
 	"github.com/hyssoptiller/hyssoptiller/internal/quota"
 	"github.com/hyssoptiller/hyssoptiller/internal/schedulerapi"
+	"github.com/hyssoptiller/hyssoptiller/internal/sleep"
 )
 
 // Paths of the calls between routers about prompt parts.
 const (
-	pathPartCrashes  = "/parts/crashes"  // An engine crashed during requests with the parts.
 	pathPartFinishes = "/parts/finishes" // Asks for complete responses to requests with the parts.
 	pathPartChanges  = "/parts/changes"  // Parts were put in quarantine or cleared.
 	pathHeldParts    = "/parts/held"     // Asks for the parts that are suspects or in quarantine.
@@ -35,6 +35,9 @@
 	// suspectRetryAfter is the Retry-After while another request with the part is on trial. A trial
 	// takes as long as one response.
 	suspectRetryAfter = time.Second
+	// proofDelay is how long a part that is to be suspected waits for a complete response at this
+	// router. Sound parts of many requests get one, so that the other routers need not be asked.
+	proofDelay = 300 * time.Millisecond
 	// maxFetches is the number of routers from which a starting router reads the parts that they hold
 	// back. Some of them may have just started too.
 	maxFetches = 3
@@ -143,31 +146,22 @@
 	}
 }
 
-// reportCrash records the crash of an engine and reports it to the other routers.
-func (t *partQuarantine) reportCrash(ctx context.Context, c partCrash) {
-	if len(c.Parts) == 0 {
-		return
-	}
-	t.peers.Broadcast(ctx, pathPartCrashes, c)
-	if quarantined := t.recordCrash(ctx, c); len(quarantined) > 0 {
-		t.peers.Broadcast(ctx, pathPartChanges, encodeHeldParts(quarantined)) // For routers that missed an earlier trial.
-	}
-}
-
 // recordCrash counts a crash. A part that has reached the limit becomes a suspect unless another
-// router has received a complete response since the first crash. recordCrash returns the parts that the
-// crash of a trial puts in quarantine.
-func (t *partQuarantine) recordCrash(ctx context.Context, c partCrash) []quarantine.HeldPart {
-	now := time.Now()
+// router has received a complete response since the first crash.
+func (t *partQuarantine) recordCrash(c partCrash) {
+	ctx, now := context.Background(), time.Now()
 	t.mu.Lock()
 	quarantined := t.tracker.RecordTrialCrash(c.Trial, now)
 	t.logChanges(quarantined, "")
 	suspicions := t.tracker.RecordCrash(c.Parts, c.incarnation(), now)
 	t.mu.Unlock()
-	if len(suspicions) == 0 {
-		return quarantined
+	if len(quarantined) > 0 {
+		t.peers.Broadcast(ctx, pathPartChanges, encodeHeldParts(quarantined)) // For routers that missed an earlier trial.
 	}
-	others := t.finishesElsewhere(ctx, suspicions, now)
+	if suspicions = t.unproven(ctx, suspicions); len(suspicions) == 0 {
+		return
+	}
+	others := t.finishesElsewhere(ctx, suspicions, time.Now())
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range suspicions {
@@ -178,7 +172,17 @@
 			t.logChanges([]quarantine.HeldPart{{Part: s.Part, State: quarantine.PartSuspect}}, "")
 		}
 	}
-	return quarantined
+}
+
+// unproven waits for proofDelay and returns the parts without a complete response at this router
+// since their first crash.
+func (t *partQuarantine) unproven(ctx context.Context, suspicions []quarantine.Suspicion) []quarantine.Suspicion {
+	if len(suspicions) == 0 || sleep.For(ctx, proofDelay) != nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.DeleteFunc(suspicions, func(s quarantine.Suspicion) bool { return t.tracker.FinishedSince(s.Part, s.Since) })
 }
 
 // finishesElsewhere returns the parts to which other routers received a complete response since the
@@ -235,12 +239,6 @@
 
 // mount adds the handlers for the calls of other routers to r.
 func (t *partQuarantine) mount(r chi.Router) {
-	r.Post(pathPartCrashes, func(w http.ResponseWriter, req *http.Request) {
-		var c partCrash
-		if schedulerapi.DecodeRequest(w, req, maxPartsBytes, &c) {
-			go t.recordCrash(context.WithoutCancel(req.Context()), c)
-		}
-	})
 	r.Post(pathPartFinishes, func(w http.ResponseWriter, req *http.Request) {
 		var f finishesRequest
 		if schedulerapi.DecodeRequest(w, req, maxPartsBytes, &f) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -97,6 +97,7 @@
 	r.crashTracker = newCrashTracker(r.peers, log)
 	r.parts = newPartQuarantine(r.peers, log)
 	r.peers.OnFound = r.parts.fetch
+	r.crashTracker.OnPartCrash = r.parts.recordCrash
 	r.budgets = newRetryBudgets(s.RetryRatio, s.RetryBurst, r.peers.Count)
 	return r
 }
