--- a/internal/policy/quarantine/parts.go
+++ b/internal/policy/quarantine/parts.go
@@ -34,7 +34,8 @@
 	return PartLimits{
 		CrashesToSuspect: 3, Trials: 2, ProvenTrials: 3,
 		QuarantineDurations: []time.Duration{30 * time.Second, 2 * time.Minute, 10 * time.Minute, time.Hour},
-		TrialTurn:           3 * time.Second, SuspicionLifetime: time.Minute, CombinedTrialDelay: 2 * time.Second, RecordLifetime: 10 * time.Minute, MaxTracked: 4096,
+		TrialTurn:           3 * time.Second, SuspicionLifetime: time.Minute, CombinedTrialDelay: 2 * time.Second,
+		RecordLifetime: 10 * time.Minute, MaxTracked: 4096,
 	}
 }
 
@@ -125,6 +126,7 @@
 	return true
 }
 
+// suspect makes a part a suspect. After a quarantine it stays one for longer and takes one trial.
 func (t *PartTracker) suspect(r *partRecord, now time.Time) {
 	r.state, r.suspectedAt, r.until, r.onTrial, r.trialsLeft = PartSuspect, now, now.Add(t.limits.SuspicionLifetime), false, t.limits.Trials
 	if r.quarantines > 0 {
@@ -132,6 +134,7 @@
 	}
 }
 
+// isProven reports whether this router received a complete response within RecordLifetime.
 func (t *PartTracker) isProven(r *partRecord, now time.Time) bool {
 	return !r.finishedAt.IsZero() && now.Sub(r.finishedAt) < t.limits.RecordLifetime
 }
@@ -296,6 +299,7 @@
 	return r.state
 }
 
+// clear ends the suspicion of a part, and the series of its quarantines.
 func (t *PartTracker) clear(r *partRecord) {
 	r.state, r.crashed, r.onTrial, r.quarantines = PartCleared, nil, false, 0
 }
--- a/internal/router/partquarantine.go
+++ b/internal/router/partquarantine.go
@@ -111,7 +111,7 @@
 	return t.tracker.BeginRun(parts, func(part string, turn int) bool { return t.peers.Owns(part, turn, now) }, now)
 }
 
-// endTrial ends a trial without a result.
+// endTrial ends the trial of a request, whatever its result.
 func (t *partQuarantine) endTrial(parts []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -128,7 +128,7 @@
 	}
 }
 
-// announceCleared logs that parts were cleared and tells the other routers.
+// announceCleared logs that suspects were cleared and reports it to the other routers.
 func (t *partQuarantine) announceCleared(parts []string) {
 	changes := make([]quarantine.HeldPart, len(parts))
 	for i, part := range parts {
