relay: one router of each failure domain reads the store for the others

Cause: each of 68 routers watched the store every 1.5 s and 1.6 s, each of 120 schedulers every 5 s, and each change woke all of them. The number of calls grew with the number of processes.

Change: a router keeps the changes that it has read in a change log and serves it. The other processes of its failure domain watch the log of the first router by rendezvous hashing (policy/relaychoice). The age of relayed changes counts from the read of the store, with the time that relay and network spent on the response. A process reads the store itself if there is no relay, if it does not respond, or if it read the store longer ago than 0.6 of the bound; a short random delay spreads the processes that lose the same relay. Listings always read the store. Heartbeats of endpoints stay in the log of the reader. An outage that a relay noticed starts the grace period of missing registrations here too, unless the store was reached meanwhile.

Ruled out: relaying the listings, since a fencing token needs a position that was read after the process started.

--- a/cmd/hyssop-scheduler/main.go
+++ b/cmd/hyssop-scheduler/main.go
@@ -18,6 +18,7 @@
 	app := kingpin.New("hyssop-scheduler", "Schedules requests and adapter loads on one model engine.")
 	var s scheduler.Settings
 	process.AddFlag(app, "vm", "Name of this VM.").StringVar(&s.VM)
+	process.AddFlag(app, "failure-domain", "Failure domain of this VM.").StringVar(&s.FailureDomain)
 	process.AddFlag(app, "service", "Name of the service that the engine belongs to.").StringVar(&s.Service)
 	process.AddFlag(app, "engine", "Address (host:port) of the engine.").StringVar(&s.EngineAddress)
 	process.AddFlag(app, "listen", "Listen address for routers.").StringVar(&s.ListenAddress)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -185,7 +185,7 @@
 	return out, Position{f.epoch, f.revision}, nil
 }
 
-func (f *fakeStore) Watch(ctx context.Context, _ string, after Position, wait time.Duration) ([]Item, Position, error) {
+func (f *fakeStore) Watch(ctx context.Context, _ string, after Position, wait time.Duration) (Changes, error) {
 	for end := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
 		f.mu.Lock()
 		down, epoch, revision := f.down, f.epoch, f.revision
@@ -199,13 +199,13 @@
 		f.mu.Unlock()
 		switch {
 		case down:
-			return nil, Position{}, ErrUnavailable
+			return Changes{}, ErrUnavailable
 		case compacted:
-			return nil, Position{}, ErrCompacted
+			return Changes{}, ErrCompacted
 		case epoch != after.Epoch:
-			return nil, Position{}, ErrRestored
+			return Changes{}, ErrRestored
 		case len(out) > 0 || !time.Now().Before(end) || ctx.Err() != nil:
-			return out, Position{epoch, revision}, ctx.Err()
+			return Changes{Items: out, Position: Position{epoch, revision}, ConfirmedAt: time.Now()}, ctx.Err()
 		}
 	}
 }
--- a/internal/catalog/endpoint.go
+++ b/internal/catalog/endpoint.go
@@ -24,8 +24,8 @@
 	return e.Heartbeat > other.Heartbeat
 }
 
-// equalsExceptHeartbeat reports whether two registrations differ in their heartbeat at most.
-func (e *Endpoint) equalsExceptHeartbeat(other *Endpoint) bool {
+// EqualsExceptHeartbeat reports whether two registrations differ in their heartbeat at most.
+func (e *Endpoint) EqualsExceptHeartbeat(other *Endpoint) bool {
 	copied := *e
 	copied.Heartbeat = other.Heartbeat
 	return copied == *other
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -20,6 +20,8 @@
 	ErrRestored = errors.ConstError("store was restored from a backup")
 	// ErrUnavailable reports that the store was unreachable or did not serve the call.
 	ErrUnavailable = errors.ConstError("store unavailable")
+	// ErrBehind reports that a ChangeLog has not reached the requested position.
+	ErrBehind = errors.ConstError("change log has not reached the requested position")
 )
 
 // Item is a key and its value, or a deleted key.
@@ -43,9 +45,9 @@
 type Store interface {
 	// List returns all items and the position after which a watch misses no change.
 	List(ctx context.Context, prefix string) ([]Item, Position, error)
-	// Watch returns the changes after a position and the position for the next watch, which is
-	// of the same epoch. If there is no change, it returns none after about wait.
-	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error)
+	// Watch returns the changes after a position. The position for the next watch is of the same
+	// epoch. If there is no change, it returns none after about wait.
+	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) (Changes, error)
 }
 
 const (
@@ -76,13 +78,15 @@
 	OnRecovered func(back time.Time)
 	// OnListed is called after each listing, with its position. It may be nil.
 	OnListed func(Position)
-	// WatchTimeout is how long after a response of the store a watch waits for a change at most. A
-	// watch during an outage does not wait, so that the first one after it succeeds at once.
+	// WatchTimeout is how long after the last confirmation by the store a watch waits for a change at
+	// most. A watch during an outage does not wait, so that the first one after it succeeds at once.
 	WatchTimeout time.Duration
-	// MinInterval is the shortest interval between two watch calls, so that frequent changes are
-	// batched.
+	// MinInterval is the shortest interval between two watches of the store, so that frequent changes
+	// are batched. It does not apply to changes that another process has read.
 	MinInterval time.Duration
-	Log         *logrus.Entry
+	// Changes receives the changes for other processes. It may be nil.
+	Changes *ChangeLog
+	Log     *logrus.Entry
 
 	position    Position         // After the last listing or watch; zero before the first listing.
 	listed      bool             // A watch from position misses no change.
@@ -91,6 +95,9 @@
 	failures    int              // Consecutive failed calls.
 	lastFailed  failedCall       // The last of them.
 	respondedAt time.Time        // Last response of the store; zero before the first one.
+	confirmedAt time.Time        // Time up to which no change is missing; zero before the first listing.
+	relayed     bool             // Another process read the last changes.
+	outage      Outage           // Last outage that OnRecovered was called for.
 	back        time.Time        // Earliest time at which the store may have been back before that response.
 }
 
@@ -109,7 +116,7 @@
 		err := f.step(ctx)
 		if err == nil {
 			wait = minRetryDelay
-			if sleep.For(ctx, f.MinInterval-time.Since(began)) != nil {
+			if !f.relayed && sleep.For(ctx, f.MinInterval-time.Since(began)) != nil {
 				break
 			}
 			continue
@@ -126,6 +133,7 @@
 		}
 		f.failures++
 		f.lastFailed = failedCall{began: began, took: time.Since(began)}
+		f.Changes.fail()
 		f.beginOutage(err)
 		if sleep.For(ctx, wait-time.Since(began)) != nil {
 			break
@@ -138,26 +146,61 @@
 // step makes one list or watch call and applies its result.
 func (f *Follower) step(ctx context.Context) error {
 	if !f.listed {
+		began := time.Now()
 		items, position, err := f.Store.List(ctx, f.Prefix)
 		if err != nil {
 			return err
 		}
+		f.relayed = false
 		f.markResponse()
 		f.applyListing(items, position)
+		f.confirmedAt = began
+		f.Changes.reset(items, position, began)
 		return nil
 	}
-	items, position, err := f.Store.Watch(ctx, f.Prefix, f.position, max(f.WatchTimeout-f.unread(), 0))
+	changes, err := f.Store.Watch(ctx, f.Prefix, f.position, max(f.WatchTimeout-f.unconfirmed(), 0))
 	if err != nil {
 		return err
 	}
+	f.relayed = changes.Relayed
 	f.markResponse()
-	for _, item := range items {
-		f.apply(item)
+	f.adoptOutage(changes.Outage)
+	applied := changes.Items[:0]
+	for _, item := range changes.Items {
+		if f.apply(item) {
+			applied = append(applied, item)
+		}
+	}
+	changes.Items = applied
+	f.position.Revision = max(changes.Position.Revision, f.position.Revision)
+	if changes.ConfirmedAt.After(f.confirmedAt) {
+		f.confirmedAt = changes.ConfirmedAt
 	}
-	f.position.Revision = max(position.Revision, f.position.Revision)
+	f.Changes.extend(changes, f.position)
 	return nil
 }
 
+// adoptOutage calls OnRecovered for an outage that another process noticed, unless this one knows of
+// it or reached the store meanwhile.
+func (f *Follower) adoptOutage(o Outage) {
+	if o == (Outage{}) || f.confirmedAt.After(o.Began) || o.Back.Sub(f.outage.Back) < minOutage {
+		return
+	}
+	f.Log.WithFields(logrus.Fields{
+		"event": "store_outage", "prefix": f.Prefix, "outage_ms": o.Back.Sub(o.Began).Milliseconds(),
+	}).Info("another process noticed an outage of the store")
+	f.recovered(o)
+}
+
+// recovered calls OnRecovered for an outage.
+func (f *Follower) recovered(o Outage) {
+	f.outage = o
+	f.Changes.recover(o)
+	if f.OnRecovered != nil {
+		f.OnRecovered(o.Back)
+	}
+}
+
 // applyListing applies a listing and continues from its position.
 func (f *Follower) applyListing(items []Item, position Position) {
 	f.Log.WithFields(logrus.Fields{
@@ -187,9 +230,7 @@
 	for key := range f.revisions {
 		f.revisions[key] = 0
 	}
-	if f.OnRecovered != nil {
-		f.OnRecovered(f.back)
-	}
+	f.recovered(Outage{Began: f.back, Back: f.back})
 }
 
 // replace applies a listing. Known items that are not in the listing are deleted.
@@ -207,15 +248,16 @@
 	}
 }
 
-// apply passes an item to OnChange unless a revision at least as new is already known.
-func (f *Follower) apply(item Item) {
+// apply passes an item to OnChange unless a revision at least as new is already known. It reports
+// whether it did.
+func (f *Follower) apply(item Item) bool {
 	if known := f.revisions[item.Key]; item.Revision <= known {
 		if item.Revision < known {
 			f.Log.WithFields(logrus.Fields{
 				"event": "item_ignored", "key": item.Key, "revision": item.Revision, "known": known,
 			}).Info("item is older than the known one, ignored")
 		}
-		return
+		return false
 	}
 	if item.Deleted {
 		delete(f.revisions, item.Key)
@@ -223,6 +265,7 @@
 		f.revisions[item.Key] = item.Revision
 	}
 	f.OnChange(item)
+	return true
 }
 
 // beginOutage records and logs the start of an outage, unless one is recorded.
@@ -252,19 +295,27 @@
 	return time.Since(f.respondedAt)
 }
 
+// unconfirmed returns the time since the last confirmation; 0 before the first one.
+func (f *Follower) unconfirmed() time.Duration {
+	if f.confirmedAt.IsZero() {
+		return 0
+	}
+	return time.Since(f.confirmedAt)
+}
+
 // endOutage ends an outage, if one is recorded. After an outage of at least minOutage it calls
 // OnRecovered.
 func (f *Follower) endOutage() {
 	if f.outageStart.IsZero() {
 		return
 	}
-	outage := time.Since(f.outageStart)
+	outage, began := time.Since(f.outageStart), f.outageStart
 	f.Log.WithFields(logrus.Fields{
 		"prefix": f.Prefix, "outage_ms": outage.Milliseconds(), "unread_ms": f.unread().Milliseconds(),
 		"failed_calls": f.failures, "last_failed_call_ms": f.lastFailed.took.Milliseconds(),
 	}).Info("store regained")
 	f.outageStart, f.failures = time.Time{}, 0
-	if outage >= minOutage && f.OnRecovered != nil {
-		f.OnRecovered(f.back)
+	if outage >= minOutage {
+		f.recovered(Outage{Began: began, Back: f.back})
 	}
 }
--- a/internal/catalog/outage_test.go
+++ b/internal/catalog/outage_test.go
@@ -54,19 +54,18 @@
 	return s.fakeStore.List(ctx, prefix)
 }
 
-func (s *silentStore) Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error) {
+func (s *silentStore) Watch(ctx context.Context, prefix string, after Position, wait time.Duration) (Changes, error) {
 	began := time.Now()
 	silent, before := s.state()
-	var items []Item
-	position, err := after, error(nil)
+	changes, err := Changes{Position: after}, error(nil)
 	if !silent {
-		items, position, err = s.fakeStore.Watch(ctx, prefix, after, wait)
+		changes, err = s.fakeStore.Watch(ctx, prefix, after, wait)
 	}
 	if _, now := s.state(); silent || now != before {
 		time.Sleep(wait + testWatchTimeoutMargin - time.Since(began))
-		return nil, Position{}, ErrUnavailable
+		return Changes{}, ErrUnavailable
 	}
-	return items, position, err
+	return changes, err
 }
 
 func discardLog() *logrus.Entry {
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -129,7 +129,7 @@
 	delete(s.expiring, e.ID)
 	delete(s.removed, e.ID)
 	s.latest[e.ID] = e
-	if old := s.endpoints[e.ID]; old != nil && old.equalsExceptHeartbeat(e) {
+	if old := s.endpoints[e.ID]; old != nil && old.EqualsExceptHeartbeat(e) {
 		return false
 	}
 	s.endpoints[e.ID] = e
--- /dev/null
+++ b/internal/relay/reader.go
@@ -0,0 +1,223 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/relaychoice"
+	"github.com/hyssoptiller/hyssoptiller/internal/sleep"
+)
+
+const (
+	// responseMargin is how long after the wait of a watch a relay may respond. A round trip between
+	// failure domains takes a few milliseconds.
+	responseMargin = 300 * time.Millisecond
+	// maxResponseBytes bounds a response: a full change log in base64, with JSON around it.
+	maxResponseBytes = 8 << 20
+	// maxRelayAttempts bounds the relays that are called for one watch.
+	maxRelayAttempts = 3
+)
+
+// ErrNoResponse reports that a relay did not respond or responded with an unknown status or body.
+const ErrNoResponse = errors.ConstError("relay did not respond")
+
+// Relays holds the known relays of a process. It is safe for concurrent use.
+type Relays struct {
+	client  *http.Client
+	log     *logrus.Entry
+	direct  tally.Counter // Watches of the store.
+	relayed tally.Counter // Watches of relays that returned changes or confirmed that there are none.
+	failed  tally.Counter // Watches of relays that failed.
+
+	mu      sync.Mutex
+	chooser *relaychoice.Chooser
+}
+
+// NewRelays returns Relays for the process on a VM of a failure domain. vm is "" for a process that
+// does not relay changes.
+func NewRelays(vm, failureDomain string, transport http.RoundTripper, scope tally.Scope, log *logrus.Entry) *Relays {
+	return &Relays{
+		client: &http.Client{Transport: transport}, log: log, chooser: relaychoice.NewChooser(vm, failureDomain),
+		direct: scope.Counter("direct_watches_total"), relayed: scope.Counter("relayed_watches_total"),
+		failed: scope.Counter("failed_watches_total"),
+	}
+}
+
+// Update adds or changes the relay on a VM, or removes it.
+func (r *Relays) Update(vm, address, failureDomain string, present bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !present {
+		r.chooser.Remove(vm)
+		return
+	}
+	r.chooser.Set(relaychoice.Relay{VM: vm, Address: address, FailureDomain: failureDomain})
+}
+
+func (r *Relays) choose() (relaychoice.Relay, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.chooser.Choose(time.Now())
+}
+
+// exclude excludes a relay whose watch failed, if the error is one of the relay.
+func (r *Relays) exclude(vm string, err error) {
+	delay := time.Duration(0)
+	switch {
+	case errors.Is(err, ErrNoResponse):
+		delay = relaychoice.LostDelay
+	case errors.Is(err, ErrStale) || errors.Is(err, catalog.ErrUnavailable):
+		delay = relaychoice.StaleDelay
+	}
+	r.failed.Inc(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.chooser.Exclude(vm, time.Now().Add(delay))
+}
+
+// Reader is a catalog.Store for one topic that watches a relay where it can.
+type Reader struct {
+	Store     catalog.Store // Read for listings and in place of a relay.
+	Topic     string
+	Relays    *Relays
+	Freshness Freshness
+
+	source      string    // VM of the relay of the last watch, "" for the store; for the log.
+	confirmedAt time.Time // Time up to which the last watch missed no change.
+}
+
+// List implements catalog.Store. It reads the store, so that its position is newer than the start of
+// the process.
+func (r *Reader) List(ctx context.Context, prefix string) ([]catalog.Item, catalog.Position, error) {
+	return r.Store.List(ctx, prefix)
+}
+
+// Watch implements catalog.Store. It calls another relay in place of a failed one only while the last
+// watch is young enough for that.
+func (r *Reader) Watch(
+	ctx context.Context, prefix string, after catalog.Position, wait time.Duration,
+) (catalog.Changes, error) {
+	var failure error
+	for range maxRelayAttempts {
+		source, ok := r.Relays.choose()
+		if !ok {
+			break
+		}
+		changes, err := r.watchRelay(ctx, source, after)
+		if err == nil {
+			r.logSource(source.VM, nil)
+			r.Relays.relayed.Inc(1)
+			r.confirmedAt = changes.ConfirmedAt
+		}
+		if err == nil || errors.Is(err, catalog.ErrRestored) || ctx.Err() != nil {
+			return changes, err
+		}
+		r.Relays.exclude(source.VM, err)
+		failure = err
+		if time.Since(r.confirmedAt) > r.Freshness.MaxAge/2 {
+			break
+		}
+	}
+	r.logSource("", failure)
+	if failure != nil {
+		// Processes that lose the same relay do not read the store at the same time.
+		if err := sleep.For(ctx, rand.N(r.Freshness.MaxJitter+1)); err != nil {
+			return catalog.Changes{}, err
+		}
+	}
+	r.Relays.direct.Inc(1)
+	changes, err := r.Store.Watch(ctx, prefix, after, wait)
+	if err == nil {
+		r.confirmedAt = changes.ConfirmedAt
+	}
+	return changes, err
+}
+
+// logSource logs that the changes come from another source than before. err is the reason why the
+// relay is not used.
+func (r *Reader) logSource(vm string, err error) {
+	if vm == r.source {
+		return
+	}
+	log := r.Relays.log.WithFields(logrus.Fields{"event": "changes_source", "topic": r.Topic, "relay": vm, "former_relay": r.source})
+	if err != nil {
+		log = log.WithError(err)
+	}
+	log.Info("source of changes in the store changed")
+	r.source = vm
+}
+
+// watchRelay watches a relay's change log.
+func (r *Reader) watchRelay(ctx context.Context, source relaychoice.Relay, after catalog.Position) (catalog.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Freshness.PollTimeout+responseMargin)
+	defer cancel()
+	query := url.Values{
+		paramTopic:    {r.Topic},
+		paramEpoch:    {strconv.FormatInt(after.Epoch, 10)},
+		paramAfter:    {strconv.FormatInt(after.Revision, 10)},
+		paramWaitMS:   {strconv.FormatInt(r.Freshness.PollTimeout.Milliseconds(), 10)},
+		paramMaxAgeMS: {strconv.FormatInt(r.Freshness.MaxAge.Milliseconds(), 10)},
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+source.Address+pathChanges+"?"+query.Encode(), nil)
+	if err != nil {
+		return catalog.Changes{}, errors.WithType(err, ErrNoResponse)
+	}
+	sent := time.Now()
+	resp, err := r.Relays.client.Do(req)
+	if err != nil {
+		return catalog.Changes{}, errors.WithType(err, ErrNoResponse)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		if known := statusErrors[resp.StatusCode]; known != nil {
+			return catalog.Changes{}, known
+		}
+		return catalog.Changes{}, errors.WithType(errors.Errorf("relay responded with status %d", resp.StatusCode), ErrNoResponse)
+	}
+	var in wireChanges
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&in); err != nil {
+		return catalog.Changes{}, errors.WithType(err, ErrNoResponse)
+	}
+	return in.decode(after, sent, time.Now(), r.Freshness.MaxAge)
+}
+
+// decode returns the changes in a response to a call that was sent and whose response was received at
+// the given times.
+func (in wireChanges) decode(after catalog.Position, sent, received time.Time, maxAge time.Duration) (catalog.Changes, error) {
+	if in.Epoch != after.Epoch || in.AgeMS < 0 || in.HeldMS < 0 {
+		return catalog.Changes{}, ErrNoResponse
+	}
+	// The response was written at this time or later.
+	written := received
+	if transit := received.Sub(sent) - millis(in.HeldMS); transit > 0 {
+		written = received.Add(-transit)
+	}
+	out := catalog.Changes{
+		Items: make([]catalog.Item, 0, len(in.Items)), Position: catalog.Position{Epoch: in.Epoch, Revision: in.Revision},
+		ConfirmedAt: written.Add(-millis(in.AgeMS)), Relayed: true,
+	}
+	if received.Sub(out.ConfirmedAt) >= maxAge {
+		return catalog.Changes{}, ErrStale
+	}
+	if in.Outage != nil {
+		out.Outage = catalog.Outage{Began: written.Add(-millis(in.Outage.BeganMS)), Back: written.Add(-millis(in.Outage.BackMS))}
+	}
+	for _, i := range in.Items {
+		out.Items = append(out.Items, catalog.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+	}
+	return out, nil
+}
+
+func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,157 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+)
+
+// pathChanges is the path of a watch. The response is a wireChanges, or one of the statuses of
+// statusErrors.
+const pathChanges = "/changes"
+
+// Parameters of a watch.
+const (
+	paramTopic    = "topic"
+	paramEpoch    = "epoch"
+	paramAfter    = "after"
+	paramWaitMS   = "waitMs"
+	paramMaxAgeMS = "maxAgeMs"
+)
+
+// ErrStale reports that a relay read the store longer ago than the bound.
+const ErrStale = errors.ConstError("relay read the store too long ago")
+
+// statusErrors are the errors of a watch by their status.
+var statusErrors = map[int]error{
+	http.StatusServiceUnavailable: catalog.ErrUnavailable,
+	http.StatusConflict:           catalog.ErrRestored,
+	http.StatusGone:               catalog.ErrCompacted,
+	http.StatusTooEarly:           catalog.ErrBehind,
+	http.StatusGatewayTimeout:     ErrStale,
+}
+
+type wireItem struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// wireOutage is a catalog.Outage. Its times are relative, since the clocks of VMs differ.
+type wireOutage struct {
+	BeganMS int64 `json:"beganMs"` // Time since it began.
+	BackMS  int64 `json:"backMs"`  // Time since the store may have been back.
+}
+
+type wireChanges struct {
+	Epoch    int64       `json:"epoch"`
+	Revision int64       `json:"revision"`
+	AgeMS    int64       `json:"ageMs"`  // Time since the changes were confirmed.
+	HeldMS   int64       `json:"heldMs"` // Time between the arrival of the call and the response.
+	Outage   *wireOutage `json:"outage,omitempty"`
+	Items    []wireItem  `json:"items,omitempty"`
+}
+
+// Server serves the change logs of its process by topic.
+type Server map[string]*catalog.ChangeLog
+
+// Mount adds the handler to r.
+func (s Server) Mount(r chi.Router) { r.Get(pathChanges, s.serveChanges) }
+
+// Close ends all watches, so that their callers choose another relay before the process ends.
+func (s Server) Close() {
+	for _, log := range s {
+		log.Close()
+	}
+}
+
+func (s Server) serveChanges(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	q := r.URL.Query()
+	log := s[q.Get(paramTopic)]
+	epoch, epochErr := strconv.ParseInt(q.Get(paramEpoch), 10, 64)
+	after, afterErr := strconv.ParseInt(q.Get(paramAfter), 10, 64)
+	waitMS, waitErr := strconv.ParseInt(q.Get(paramWaitMS), 10, 64)
+	maxAgeMS, ageErr := strconv.ParseInt(q.Get(paramMaxAgeMS), 10, 64)
+	if log == nil || epochErr != nil || afterErr != nil || waitErr != nil || ageErr != nil {
+		http.Error(w, "topic, epoch, after, waitMs and maxAgeMs must name a topic and four integers", http.StatusBadRequest)
+		return
+	}
+	wait, maxAge := time.Duration(waitMS)*time.Millisecond, time.Duration(maxAgeMS)*time.Millisecond
+	changes, err := watchLog(r.Context(), log, catalog.Position{Epoch: epoch, Revision: after}, wait, maxAge)
+	now := time.Now()
+	if err != nil {
+		for status, known := range statusErrors {
+			if errors.Is(err, known) {
+				http.Error(w, err.Error(), status)
+				return
+			}
+		}
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	out := wireChanges{
+		Epoch: changes.Position.Epoch, Revision: changes.Position.Revision,
+		AgeMS: sinceMS(changes.ConfirmedAt, now), HeldMS: now.Sub(began).Milliseconds(),
+		Items: make([]wireItem, 0, len(changes.Items)),
+	}
+	if o := changes.Outage; o != (catalog.Outage{}) {
+		out.Outage = &wireOutage{BeganMS: sinceMS(o.Began, now), BackMS: sinceMS(o.Back, now)}
+	}
+	for _, i := range changes.Items {
+		out.Items = append(out.Items, wireItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out) // The caller notices a response that is cut.
+}
+
+// sinceMS returns the time from t to now in milliseconds, rounded up.
+func sinceMS(t, now time.Time) int64 {
+	return int64((now.Sub(t) + time.Millisecond - 1) / time.Millisecond)
+}
+
+// watchLog returns the changes after a position as soon as there are any, after wait, or with ErrStale
+// once the last confirmation is older than maxAge.
+func watchLog(
+	ctx context.Context, log *catalog.ChangeLog, after catalog.Position, wait, maxAge time.Duration,
+) (catalog.Changes, error) {
+	end := time.Now().Add(wait)
+	for {
+		changes, changed, err := log.Read(after)
+		now := time.Now()
+		next := end
+		switch {
+		case errors.Is(err, catalog.ErrBehind):
+			if !now.Before(end) {
+				return catalog.Changes{}, err
+			}
+		case err != nil:
+			return catalog.Changes{}, err
+		case now.Sub(changes.ConfirmedAt) >= maxAge:
+			return catalog.Changes{}, ErrStale
+		case len(changes.Items) > 0 || !now.Before(end):
+			return changes, nil
+		default:
+			if stale := changes.ConfirmedAt.Add(maxAge); stale.Before(end) {
+				next = stale
+			}
+		}
+		timer := time.NewTimer(next.Sub(now))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return catalog.Changes{}, ctx.Err()
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/routing"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 	"github.com/hyssoptiller/hyssoptiller/internal/quota"
+	"github.com/hyssoptiller/hyssoptiller/internal/relay"
 	"github.com/hyssoptiller/hyssoptiller/internal/schedulerapi"
 	"github.com/hyssoptiller/hyssoptiller/internal/sleep"
 	"github.com/hyssoptiller/hyssoptiller/internal/upstream"
@@ -24,17 +25,13 @@
 )
 
 const (
-	// watchTimeout is the longest wait of one watch call to the store. A connection that went
-	// silent is detected 700 ms after it, and the watch is resumed after a further 200 ms.
-	// Together this is within the 3 s for which a VM may be out of contact.
-	watchTimeout = 1500 * time.Millisecond
 	// registryIntervalShare is the interval between two reads of the registry, as a part of
 	// the time for which a draining endpoint may still be used. Without the interval, each
 	// heartbeat of an endpoint would cause a call.
 	registryIntervalShare = 0.4
-	// routersWatchTimeout is longer than watchTimeout because the pings between routers detect
-	// changes sooner.
-	routersWatchTimeout = 10 * time.Second
+	// routersBound is the time in which a change of the registered routers is known. The pings between
+	// routers detect the end of a router sooner.
+	routersBound = 26 * time.Second
 	// routersWatchInterval batches the registrations of routers that start at the same time.
 	routersWatchInterval = 2 * time.Second
 	// callerIdleTimeout is how long an idle connection of a caller is kept. It is longer than
@@ -63,6 +60,8 @@
 	pool            *upstream.Pool
 	schedulerConns  *schedulerConns
 	endpointTracker *endpointTracker
+	relays          *relay.Relays
+	changes         relay.Server
 	peers           *quota.Peers
 	quota           *quota.Ledger
 	endpointLimits  *quota.EndpointLimits
@@ -91,6 +90,12 @@
 	r.pool.OnDial = func() { r.counters.connections.Inc(1) }
 	transport := schedulerapi.NewTransport()
 	r.schedulerConns = newSchedulerConns(s.SchedulerPort, transport, log)
+	r.relays = relay.NewRelays(s.VM, s.FailureDomain, schedulerapi.NewTransport(), metrics.Scope.SubScope("changes"), log)
+	r.changes = relay.Server{
+		relay.TopicOperator: catalog.NewChangeLog(nil),
+		relay.TopicRegistry: catalog.NewChangeLog(platform.IsHeartbeat),
+		relay.TopicRouters:  catalog.NewChangeLog(nil),
+	}
 	r.peers = quota.NewPeers(s.VM, schedulerapi.NewTransport(), log)
 	r.quota = quota.NewLedger(r.peers, r.state.View, log)
 	r.endpointLimits = quota.NewEndpointLimits(r.peers, log)
@@ -124,15 +129,17 @@
 	base.Add(&process.HTTPServer{Name: "ready", Server: r.plainServer(http.HandlerFunc(r.serveReady)), Listener: listeners[1]})
 	base.Add(&process.HTTPServer{Name: "peers", Server: schedulerapi.NewServer(r.peersHandler()), Listener: listeners[2]})
 	base.Add(&process.HTTPServer{Name: "admin", Server: r.plainServer(r.metrics.Handler), Listener: listeners[3]})
-	base.Add(platform.FollowOperator(r.store, r.state, watchTimeout, r.log, nil))
-	base.Add(platform.FollowRegistry(r.store, r.state, watchTimeout, r.registryInterval(), r.log))
-	base.Add(platform.FollowRouters(r.store, routersWatchTimeout, routersWatchInterval, r.log, r.updatePeer))
+	for _, follower := range r.followers() {
+		base.Add(follower)
+	}
 	base.Add(catalog.Expirer{State: r.state, Log: r.log})
 	base.Add(r.peers)
 	base.Add(service{"sync", r.syncLoop})
 	frontGrace := max(r.settings.ShutdownGrace-drainAcceptDuration-drainMargin, time.Second)
 	front := process.NewSupervisor("front", r.log, frontGrace)
-	registration := platform.RouterRegistration{VM: r.settings.VM, Address: r.settings.PeersAddress}
+	registration := platform.RouterRegistration{
+		VM: r.settings.VM, Address: r.settings.PeersAddress, FailureDomain: r.settings.FailureDomain,
+	}
 	registrationCtx, deregister := context.WithCancel(context.WithoutCancel(ctx))
 	defer deregister()
 	base.Add(service{"registrar", func(runCtx context.Context) error {
@@ -152,6 +159,21 @@
 	return process.NewStages(base, front).Serve(ctx, func() { r.drain(deregister) })
 }
 
+// followers returns the followers of all topics. Each one fills the change log that other processes read.
+func (r *Router) followers() []*catalog.Follower {
+	reader := func(topic string, bound time.Duration) *relay.Reader {
+		return &relay.Reader{Store: r.store, Topic: topic, Relays: r.relays, Freshness: relay.Within(bound)}
+	}
+	operator := platform.FollowOperator(reader(relay.TopicOperator, r.settings.ConfigBound), r.state, r.log, nil)
+	registry := platform.FollowRegistry(
+		reader(relay.TopicRegistry, r.settings.EndpointDrainBound), r.state, r.registryInterval(), r.log)
+	routers := platform.FollowRouters(reader(relay.TopicRouters, routersBound), routersWatchInterval, r.log, r.updatePeer)
+	operator.Changes = r.changes[relay.TopicOperator]
+	registry.Changes = r.changes[relay.TopicRegistry]
+	routers.Changes = r.changes[relay.TopicRouters]
+	return []*catalog.Follower{operator, registry, routers}
+}
+
 // service is a named function run by a supervisor.
 type service struct {
 	name string
@@ -170,6 +192,7 @@
 func (r *Router) drain(deregister func()) {
 	r.draining.Store(true)
 	r.peers.Leave()
+	r.changes.Close()
 	deregister()
 	r.log.WithField("event", "drain").WithField("in_flight", r.inFlight.Load()).Info("draining")
 	// The context of the process has already ended.
@@ -200,6 +223,7 @@
 
 // updatePeer adds or removes a router that appeared in or left the store.
 func (r *Router) updatePeer(found platform.RouterRegistration, present bool) {
+	r.relays.Update(found.VM, found.Address, found.FailureDomain, present)
 	if present {
 		r.peers.Add(quota.Peer{VM: found.VM, Address: found.Address})
 		return
@@ -225,6 +249,7 @@
 // peersHandler returns the handler for the calls of other routers.
 func (r *Router) peersHandler() http.Handler {
 	router := chi.NewRouter()
+	r.changes.Mount(router)
 	r.quota.Mount(router)
 	r.endpointLimits.Mount(router)
 	r.crashTracker.mount(router)
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -19,6 +19,7 @@
 	MemoryMB           int           // Memory of the VM; 0 sets no limit.
 	ShutdownGrace      time.Duration // Time from SIGTERM to the exit of the process.
 	EndpointDrainBound time.Duration // How long a draining endpoint may still be used.
+	ConfigBound        time.Duration // Time in which a change of the configuration must be in force.
 	RetryRatio         float64       // Retries per request that all routers together may make.
 	RetryBurst         float64       // Retries beyond the ratio that all routers together may make in any window.
 }
@@ -37,5 +38,6 @@
 	c.RequireAtLeast("memory-mb", int64(s.MemoryMB), 0)
 	c.RequirePositive("grace", s.ShutdownGrace)
 	c.RequirePositive("drain-bound", s.EndpointDrainBound)
+	c.RequirePositive("config-bound", s.ConfigBound)
 	return c.Err()
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,15 +10,21 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
+	"github.com/hyssoptiller/hyssoptiller/internal/relay"
 	"github.com/hyssoptiller/hyssoptiller/internal/schedulerapi"
 	"github.com/hyssoptiller/hyssoptiller/internal/settings"
 	"github.com/hyssoptiller/hyssoptiller/platform"
 )
 
 const (
-	// watchTimeout bounds one watch call to the store. Adapter versions may take 5 s to take
-	// effect, and routers also announce them with their grant requests.
-	watchTimeout = 5 * time.Second
+	// operatorBound is the time in which a scheduler knows a change by the operator. Adapter versions may
+	// take 5 s to take effect, and routers also announce them with their grant requests.
+	operatorBound = 4 * time.Second
+	// routersBound is the time in which a scheduler knows a change of the registered routers. It uses
+	// them as relays only, and notices by its calls which ones are gone.
+	routersBound = 26 * time.Second
+	// routersWatchInterval batches the registrations of routers that start at the same time.
+	routersWatchInterval = 2 * time.Second
 	// serverGrace is short because a granted request continues on the engine after its
 	// scheduler has stopped.
 	serverGrace = 100 * time.Millisecond
@@ -27,6 +33,7 @@
 // Settings configures a scheduler.
 type Settings struct {
 	VM            string
+	FailureDomain string // Failure domain of the VM.
 	Service       string // Service of the engine.
 	EngineAddress string // Address of the engine's API.
 	ListenAddress string // Listen address for routers.
@@ -39,6 +46,7 @@
 func (s Settings) Check() error {
 	var c settings.Checker
 	c.RequireName("vm", s.VM)
+	c.RequireName("failure-domain", s.FailureDomain)
 	c.RequireName("service", s.Service)
 	c.RequireAddress("engine", s.EngineAddress)
 	c.RequireAddress("listen", s.ListenAddress)
@@ -81,7 +89,15 @@
 	}
 	store := platform.NewStoreClient(s.settings.StoreAddress)
 	supervisor := process.NewSupervisor("scheduler", s.log, serverGrace)
-	supervisor.Add(platform.FollowOperator(store, s.state, watchTimeout, s.log, s.engine.SetFencingToken))
+	relays := relay.NewRelays("", s.settings.FailureDomain, schedulerapi.NewTransport(), s.metrics.Scope.SubScope("changes"), s.log)
+	reader := func(topic string, bound time.Duration) *relay.Reader {
+		return &relay.Reader{Store: store, Topic: topic, Relays: relays, Freshness: relay.Within(bound)}
+	}
+	supervisor.Add(platform.FollowOperator(reader(relay.TopicOperator, operatorBound), s.state, s.log, s.engine.SetFencingToken))
+	supervisor.Add(platform.FollowRouters(reader(relay.TopicRouters, routersBound), routersWatchInterval, s.log,
+		func(r platform.RouterRegistration, present bool) {
+			relays.Update(r.VM, r.Address, r.FailureDomain, present)
+		}))
 	supervisor.Add(&endpointLookup{
 		engine: s.engine,
 		find: func(ctx context.Context, incarnation int64) (catalog.EndpointID, error) {
