--- a/internal/router/schedulerconn.go
+++ b/internal/router/schedulerconn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -40,6 +41,10 @@
 	// responseMargin is added to a grant request's maximum wait. A scheduler that has not
 	// responded by then counts as unresponsive.
 	responseMargin = 500 * time.Millisecond
+	// maxSnapshotBytes and maxGrantReplyBytes bound one line of a scheduler. A snapshot with 100 adapters
+	// takes 10 KB.
+	maxSnapshotBytes   = 256 << 10
+	maxGrantReplyBytes = 4 << 10
 )
 
 // schedulerConn is the connection to the scheduler of one engine.
@@ -98,12 +103,19 @@
 		return errors.Trace(err)
 	}
 	defer resp.Body.Close()
-	lines := json.NewDecoder(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("scheduler responded with status %d", resp.StatusCode)
+	}
+	body := &io.LimitedReader{R: resp.Body}
+	lines := json.NewDecoder(body)
+	var s grants.Snapshot
 	for {
-		var s grants.Snapshot
-		if err := lines.Decode(&s); err != nil {
+		var d grants.SnapshotDelta
+		body.N = maxSnapshotBytes
+		if err := lines.Decode(&d); err != nil {
 			return errors.Trace(err)
 		}
+		s = d.Apply(s)
 		timeout.Reset(snapshotTimeout)
 		if *lost {
 			*lost = false
@@ -216,7 +228,7 @@
 		cancel()
 		return nil, schedulerapi.GrantReply{}, errors.WithType(err, errNoResponse)
 	}
-	lines := json.NewDecoder(resp.Body)
+	lines := json.NewDecoder(io.LimitReader(resp.Body, maxGrantReplyBytes))
 	var reply schedulerapi.GrantReply
 	if err := lines.Decode(&reply); err != nil || !reply.Granted || !timeout.Stop() {
 		_ = resp.Body.Close()
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -299,7 +299,7 @@
 func (e *Engine) Snapshot() (grants.Snapshot, <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.machine.Snapshot(time.Now()), e.changed.next()
+	return e.machine.Snapshot(time.Now()).Rounded(), e.changed.next()
 }
 
 // ApplyCatalog applies the engine's limits and the adapter versions from the catalog. Nil
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -16,6 +16,8 @@
 const (
 	// minSnapshotInterval is the shortest interval between two snapshots to one router.
 	minSnapshotInterval = 120 * time.Millisecond
+	// snapshotCheckInterval is the shortest interval between two checks whether a snapshot is due.
+	snapshotCheckInterval = 20 * time.Millisecond
 	// maxSnapshotInterval is the longest interval. Routers treat a scheduler that sends no
 	// snapshot for about three such intervals as unreachable.
 	maxSnapshotInterval = 600 * time.Millisecond
@@ -76,27 +78,39 @@
 	}).Info("grant request decided")
 }
 
-// serveSnapshots streams snapshots to a router, one JSON line each.
+// serveSnapshots streams snapshots to a router, as differences of one JSON line each. It sends a
+// snapshot if routers could decide differently because of it, and at least every
+// maxSnapshotInterval.
 func (e *Engine) serveSnapshots(w http.ResponseWriter, r *http.Request) {
+	var sent grants.Snapshot
+	snapshot, changed := e.Snapshot()
 	for {
-		snapshot, changed := e.Snapshot()
-		if !writeLine(w, snapshot) {
+		if !writeLine(w, snapshot.Delta(sent)) {
 			return
 		}
+		sent = snapshot
 		minWait := minSnapshotInterval
-		if !snapshot.Alive {
+		if !sent.Alive {
 			minWait = 0 // Routers send no requests until a snapshot shows that the engine is reachable.
 		}
-		if !waitForChange(r, changed, minWait) {
-			return
+		deadline := time.Now().Add(maxSnapshotInterval)
+		for {
+			if !waitForChange(r, changed, minWait, time.Until(deadline)) {
+				return
+			}
+			snapshot, changed = e.Snapshot()
+			if snapshot.DiffersForRouters(sent) || !time.Now().Before(deadline) {
+				break
+			}
+			minWait = snapshotCheckInterval
 		}
 	}
 }
 
-// waitForChange waits for a change, for at least minWait and at most maxSnapshotInterval. It
-// returns false if the router has disconnected.
-func waitForChange(r *http.Request, changed <-chan struct{}, minWait time.Duration) bool {
-	minTimer, maxTimer := time.NewTimer(minWait), time.NewTimer(maxSnapshotInterval)
+// waitForChange waits for a change, for at least minWait and at most maxWait. It returns false if the
+// router has disconnected.
+func waitForChange(r *http.Request, changed <-chan struct{}, minWait, maxWait time.Duration) bool {
+	minTimer, maxTimer := time.NewTimer(min(minWait, maxWait)), time.NewTimer(maxWait)
 	defer minTimer.Stop()
 	defer maxTimer.Stop()
 	select {
--- a/internal/schedulerapi/schedulerapi.go
+++ b/internal/schedulerapi/schedulerapi.go
@@ -17,7 +17,7 @@
 // Paths of the scheduler's calls.
 const (
 	PathGrant     = "/turns"
-	PathSnapshots = "/state"
+	PathSnapshots = "/snapshots" // A stream of grants.SnapshotDelta.
 )
 
 // GrantRequest requests the right to run one request on an engine.
