relay: few processes call the store during an outage

Change: a process that does not read the store for its failure domain calls it once in half the bound of the topic; its relay notices the end of the outage. The registry is left out, since the time at which the store was back counts there.

A change made during the outage reaches all processes within 3 s after it.

--- a/internal/catalog/changelog.go
+++ b/internal/catalog/changelog.go
@@ -10,7 +10,7 @@
 // store itself.
 const (
 	maxLoggedChanges = 4096
-	maxLoggedBytes   = 4 << 20
+	maxLoggedBytes   = 2 << 20
 )
 
 // Outage is a time in which the store did not respond.
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -20,6 +20,8 @@
 	ErrRestored = errors.ConstError("store was restored from a backup")
 	// ErrUnavailable reports that the store was unreachable or did not serve the call.
 	ErrUnavailable = errors.ConstError("store unavailable")
+	// ErrDeferred reports that the store was not called, because a call failed a short time ago.
+	ErrDeferred = errors.ConstError("call to the store deferred after a failed one")
 	// ErrBehind reports that a ChangeLog has not reached the requested position.
 	ErrBehind = errors.ConstError("change log has not reached the requested position")
 )
@@ -131,8 +133,10 @@
 		if ctx.Err() != nil {
 			break
 		}
-		f.failures++
-		f.lastFailed = failedCall{began: began, took: time.Since(began)}
+		if !errors.Is(err, ErrDeferred) {
+			f.failures++
+			f.lastFailed = failedCall{began: began, took: time.Since(began)}
+		}
 		f.Changes.fail()
 		f.beginOutage(err)
 		if sleep.For(ctx, wait-time.Since(began)) != nil {
--- a/internal/policy/relaychoice/relaychoice.go
+++ b/internal/policy/relaychoice/relaychoice.go
@@ -75,6 +75,9 @@
 	return Relay{}, false
 }
 
+// IsReader reports whether the process reads the store for its failure domain, or has no relays.
+func (c *Chooser) IsReader() bool { return len(c.order) == 0 || c.order[0].VM == c.self.VM }
+
 // sort orders the relays. All processes of a failure domain have the same order.
 func (c *Chooser) sort() {
 	c.order = c.order[:0]
--- a/internal/relay/freshness.go
+++ b/internal/relay/freshness.go
@@ -15,6 +15,9 @@
 	MaxAge       time.Duration // Age from which relayed changes are stale.
 	PollTimeout  time.Duration // Longest wait of a watch of a relay.
 	MaxJitter    time.Duration // Longest random delay before the store is read in place of a relay.
+	// ProbeInterval is the shortest time between a failed watch of the store and the next one, for a process
+	// that does not read the store for others. 0 leaves it to the Follower.
+	ProbeInterval time.Duration
 }
 
 // Shares of the bound. A relay that reads the store is fresh at any time, since WatchTimeout is below
@@ -25,8 +28,17 @@
 	maxAgeShare       = 0.6
 	pollTimeoutShare  = 0.4
 	maxJitterShare    = 0.05
+	probeShare        = 0.5
 )
 
+// WithinDeferring is Within for topics of which only the present state counts, not when the store was
+// back after an outage: only the readers of the failure domains call the store often during an outage.
+func WithinDeferring(bound time.Duration) Freshness {
+	f := Within(bound)
+	f.ProbeInterval = time.Duration(probeShare * float64(bound))
+	return f
+}
+
 // Within returns the Freshness for a bound.
 func Within(bound time.Duration) Freshness {
 	share := func(s float64) time.Duration { return time.Duration(s * float64(bound)) }
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -25,7 +25,7 @@
 	// failure domains takes a few milliseconds.
 	responseMargin = 300 * time.Millisecond
 	// maxResponseBytes bounds a response: a full change log in base64, with JSON around it.
-	maxResponseBytes = 8 << 20
+	maxResponseBytes = 4 << 20
 	// maxRelayAttempts bounds the relays that are called for one watch.
 	maxRelayAttempts = 3
 )
@@ -72,6 +72,12 @@
 	return r.chooser.Choose(time.Now())
 }
 
+func (r *Relays) isReader() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.chooser.IsReader()
+}
+
 // exclude excludes a relay whose watch failed, if the error is one of the relay.
 func (r *Relays) exclude(vm string, err error) {
 	delay := time.Duration(0)
@@ -96,6 +102,7 @@
 
 	source      string    // VM of the relay of the last watch, "" for the store; for the log.
 	confirmedAt time.Time // Time up to which the last watch missed no change.
+	failedAt    time.Time // Last failed watch of the store; zero if the last one succeeded.
 }
 
 // List implements catalog.Store. It reads the store, so that its position is newer than the start of
@@ -131,16 +138,33 @@
 		}
 	}
 	r.logSource("", failure)
+	if r.defers() {
+		return catalog.Changes{}, catalog.ErrDeferred
+	}
 	if failure != nil {
 		// Processes that lose the same relay do not read the store at the same time.
 		if err := sleep.For(ctx, rand.N(r.Freshness.MaxJitter+1)); err != nil {
 			return catalog.Changes{}, err
 		}
 	}
+	return r.watchStore(ctx, prefix, after, wait)
+}
+
+// defers reports whether the store must not be called yet after a failed call.
+func (r *Reader) defers() bool {
+	return time.Since(r.failedAt) < r.Freshness.ProbeInterval && !r.Relays.isReader()
+}
+
+func (r *Reader) watchStore(
+	ctx context.Context, prefix string, after catalog.Position, wait time.Duration,
+) (catalog.Changes, error) {
 	r.Relays.direct.Inc(1)
 	changes, err := r.Store.Watch(ctx, prefix, after, wait)
-	if err == nil {
-		r.confirmedAt = changes.ConfirmedAt
+	switch {
+	case err == nil:
+		r.confirmedAt, r.failedAt = changes.ConfirmedAt, time.Time{}
+	case errors.Is(err, catalog.ErrUnavailable):
+		r.failedAt = time.Now()
 	}
 	return changes, err
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -66,6 +66,7 @@
 	died   chan struct{} // Closed when it is killed.
 	paused bool          // The process is suspended.
 	cutOff bool          // The store does not respond to the process.
+	denied bool          // The store refuses the calls of the process at once.
 	delay  time.Duration // Delay of its responses to other processes.
 }
 
@@ -97,6 +98,12 @@
 	return dead || paused || cutOff
 }
 
+func (c storeConn) denied() bool {
+	c.faults.mu.Lock()
+	defer c.faults.mu.Unlock()
+	return c.faults.denied
+}
+
 func (c storeConn) List(context.Context, string) ([]catalog.Item, catalog.Position, error) {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
@@ -112,6 +119,9 @@
 	defer timer.Stop()
 	for {
 		revision, changed := c.store.state()
+		if c.denied() {
+			return catalog.Changes{}, catalog.ErrUnavailable
+		}
 		if c.unavailable() {
 			time.Sleep(wait + watchMargin - time.Since(began))
 			return catalog.Changes{}, catalog.ErrUnavailable
@@ -209,7 +219,7 @@
 		for _, r := range relays {
 			known.Update(r.VM, r.Address, r.FailureDomain, true)
 		}
-		p.reader = &Reader{Store: storeConn{f.store, p.faults}, Topic: "topic", Relays: known, Freshness: Within(testBound)}
+		p.reader = &Reader{Store: storeConn{f.store, p.faults}, Topic: "topic", Relays: known, Freshness: WithinDeferring(testBound)}
 		changes := catalog.NewChangeLog(nil)
 		handler := chi.NewRouter()
 		Server{"topic": changes}.Mount(handler)
@@ -353,6 +363,47 @@
 	})
 }
 
+// Pattern: the store refuses all calls for some seconds. Only the reader of each failure domain may go on
+// calling it often; before, each process did, 1.4 times a second. Once the store is back, a change made
+// during the outage reaches all processes within the contact time.
+func TestOutageIsProbedByFewProcesses(t *testing.T) {
+	const (
+		outage      = 10 * time.Second
+		contactTime = 3 * time.Second
+	)
+	for _, silent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := startFleet(t, 60, 120)
+			defer f.close()
+			setOutage := func(on bool) {
+				for _, p := range f.processes {
+					p.faults.set(func(f *faults) { f.cutOff, f.denied = on && silent, on && !silent })
+				}
+			}
+			time.Sleep(5 * time.Second)
+			setOutage(true)
+			time.Sleep(testBound)
+			before := f.store.watchCount()
+			time.Sleep(outage)
+			calls := float64(f.store.watchCount()-before) / outage.Seconds()
+			// Six readers at the follower's longest retry delay of 0.7 s, the other processes once in the probe interval.
+			if most := 6/0.7 + 174/(probeShare*testBound.Seconds()) + 1; calls > most {
+				t.Errorf("silent %t: calls a second during the outage = %.0f, want at most %.0f", silent, calls, most)
+			}
+			revision := f.store.put()
+			setOutage(false)
+			time.Sleep(contactTime)
+			for _, p := range f.processes {
+				p.mu.Lock()
+				if p.revision != revision {
+					t.Errorf("silent %t: %s has revision %d %s after the outage, want %d", silent, p.relay.Address, p.revision, contactTime, revision)
+				}
+				p.mu.Unlock()
+			}
+		})
+	}
+}
+
 // settleTime is a time after the loss of a relay at which its readers have settled.
 const settleTime = 4 * time.Second
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -161,13 +161,15 @@
 
 // followers returns the followers of all topics. Each one fills the change log that other processes read.
 func (r *Router) followers() []*catalog.Follower {
-	reader := func(topic string, bound time.Duration) *relay.Reader {
-		return &relay.Reader{Store: r.store, Topic: topic, Relays: r.relays, Freshness: relay.Within(bound)}
+	reader := func(topic string, f relay.Freshness) *relay.Reader {
+		return &relay.Reader{Store: r.store, Topic: topic, Relays: r.relays, Freshness: f}
 	}
-	operator := platform.FollowOperator(reader(relay.TopicOperator, r.settings.ConfigBound), r.state, r.log, nil)
+	operator := platform.FollowOperator(
+		reader(relay.TopicOperator, relay.WithinDeferring(r.settings.ConfigBound)), r.state, r.log, nil)
 	registry := platform.FollowRegistry(
-		reader(relay.TopicRegistry, r.settings.EndpointDrainBound), r.state, r.registryInterval(), r.log)
-	routers := platform.FollowRouters(reader(relay.TopicRouters, routersBound), routersWatchInterval, r.log, r.updatePeer)
+		reader(relay.TopicRegistry, relay.Within(r.settings.EndpointDrainBound)), r.state, r.registryInterval(), r.log)
+	routers := platform.FollowRouters(
+		reader(relay.TopicRouters, relay.WithinDeferring(routersBound)), routersWatchInterval, r.log, r.updatePeer)
 	operator.Changes = r.changes[relay.TopicOperator]
 	registry.Changes = r.changes[relay.TopicRegistry]
 	routers.Changes = r.changes[relay.TopicRouters]
