relay: no second call to a relay whose log does not cover the position

Cause: a relay whose log begins after the position of a process works, so it was not excluded and was called three times in a row, each time in vain.

Change: the store is read at once.

--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -78,19 +78,23 @@
 	return r.chooser.IsReader()
 }
 
-// exclude excludes a relay whose watch failed, if the error is one of the relay.
-func (r *Relays) exclude(vm string, err error) {
-	delay := time.Duration(0)
+// exclude excludes a relay whose watch failed. It returns false if the relay works, but its change log
+// does not cover the position.
+func (r *Relays) exclude(vm string, err error) bool {
+	r.failed.Inc(1)
+	var delay time.Duration
 	switch {
 	case errors.Is(err, ErrNoResponse):
 		delay = relaychoice.LostDelay
 	case errors.Is(err, ErrStale) || errors.Is(err, catalog.ErrUnavailable):
 		delay = relaychoice.StaleDelay
+	default:
+		return false
 	}
-	r.failed.Inc(1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.chooser.Exclude(vm, time.Now().Add(delay))
+	return true
 }
 
 // Reader is a catalog.Store for one topic that watches a relay where it can.
@@ -131,9 +135,8 @@
 		if err == nil || errors.Is(err, catalog.ErrRestored) || ctx.Err() != nil {
 			return changes, err
 		}
-		r.Relays.exclude(source.VM, err)
 		failure = err
-		if time.Since(r.confirmedAt) > r.Freshness.MaxAge/2 {
+		if !r.Relays.exclude(source.VM, err) || time.Since(r.confirmedAt) > r.Freshness.MaxAge/2 {
 			break
 		}
 	}
