--- a/internal/policy/grants/delta_test.go
+++ b/internal/policy/grants/delta_test.go
@@ -106,3 +106,25 @@
 		}
 	}
 }
+
+// No line of a scheduler makes a router fail, and the former snapshot stays as it was.
+func FuzzSnapshotDelta(f *testing.F) {
+	f.Add([]byte(`{"alive":true,"born":5,"models":["base"],"set":[{"a":"1","m":"base","r":true}],"waitMs":[1,2,3]}`))
+	f.Add([]byte(`{"remove":[{"a":"0","m":"base"},{"a":"0","m":"base"}],"set":[{"a":"0"},{"a":"0"}]}`))
+	f.Add([]byte(`{}`))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		var d SnapshotDelta
+		if json.Unmarshal(line, &d) != nil {
+			return
+		}
+		former := Snapshot{Adapters: []AdapterState{{Adapter: "0", Model: "base"}, {Adapter: "1", Model: "base", Usable: true}}}
+		before := fmt.Sprintf("%+v", former)
+		s := d.Apply(former)
+		if after := fmt.Sprintf("%+v", former); after != before {
+			t.Errorf("former snapshot changed to %s from %s", after, before)
+		}
+		if _, err := json.Marshal(s.Rounded().Delta(former)); err != nil {
+			t.Errorf("snapshot %+v cannot be encoded: %v", s, err)
+		}
+	})
+}
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -26,6 +26,8 @@
 	responseMargin = 300 * time.Millisecond
 	// maxResponseBytes bounds a response: a full change log in base64, with JSON around it.
 	maxResponseBytes = 4 << 20
+	// maxTime is above each time in a response: no watch is held and no outage is reported for as long.
+	maxTime = time.Hour
 	// maxRelayAttempts bounds the relays that are called for one watch.
 	maxRelayAttempts = 3
 )
@@ -223,7 +225,8 @@
 // decode returns the changes in a response to a call that was sent and whose response was received at
 // the given times.
 func (in wireChanges) decode(after catalog.Position, sent, received time.Time, maxAge time.Duration) (catalog.Changes, error) {
-	if in.Epoch != after.Epoch || in.AgeMS < 0 || in.HeldMS < 0 {
+	if in.Epoch != after.Epoch || !validMS(in.AgeMS) || !validMS(in.HeldMS) ||
+		in.Outage != nil && !(validMS(in.Outage.BeganMS) && validMS(in.Outage.BackMS)) {
 		return catalog.Changes{}, ErrNoResponse
 	}
 	// The response was written at this time or later.
@@ -247,4 +250,7 @@
 	return out, nil
 }
 
+// validMS reports whether a time in a response is in the possible range.
+func validMS(ms int64) bool { return ms >= 0 && ms <= maxTime.Milliseconds() }
+
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -17,6 +17,10 @@
 // statusErrors.
 const pathChanges = "/changes"
 
+// outageRetention is how long an outage is reported after its end. The grace period of registrations is
+// shorter.
+const outageRetention = time.Minute
+
 // Parameters of a watch.
 const (
 	paramTopic    = "topic"
@@ -103,7 +107,7 @@
 		AgeMS: sinceMS(changes.ConfirmedAt, now), HeldMS: now.Sub(began).Milliseconds(),
 		Items: make([]wireItem, 0, len(changes.Items)),
 	}
-	if o := changes.Outage; o != (catalog.Outage{}) {
+	if o := changes.Outage; now.Sub(o.Back) < outageRetention && now.Sub(o.Began) < maxTime {
 		out.Outage = &wireOutage{BeganMS: sinceMS(o.Began, now), BackMS: sinceMS(o.Back, now)}
 	}
 	for _, i := range changes.Items {
