relay: a log that is about to be confirmed is not stale

The change log of a process that is no reader can be 0.775 of the bound old, more than the 0.6 that its callers accept. When the reader was lost, the processes that called its successor in that moment excluded it for 3 s, and the next ones in order read the store as well.

--- a/internal/catalog/changelog.go
+++ b/internal/catalog/changelog.go
@@ -130,7 +130,6 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := l.position
 	for _, item := range c.Items {
 		l.add(item)
 	}
@@ -143,9 +142,7 @@
 		l.bytes -= len(l.entries[0].item.Value)
 		l.entries = l.entries[1:]
 	}
-	if position != before {
-		l.notify()
-	}
+	l.notify()
 }
 
 // add logs one change, unless it is insignificant. The caller holds l.mu.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -17,6 +17,11 @@
 // statusErrors.
 const pathChanges = "/changes"
 
+// staleGraceShare is how long a call waits for a new confirmation, as a share of its maximum age, if the
+// log is stale when it arrives. A relay that has just replaced another one as the reader of its failure
+// domain is about to read the store.
+const staleGraceShare = 1.0 / 6
+
 // outageRetention is how long an outage is reported after its end. The grace period of registrations is
 // shorter.
 const outageRetention = time.Minute
@@ -122,12 +127,14 @@
 	return int64((now.Sub(t) + time.Millisecond - 1) / time.Millisecond)
 }
 
-// watchLog returns the changes after a position as soon as there are any, after wait, or with ErrStale
-// once the last confirmation is older than maxAge.
+// watchLog returns the changes after a position as soon as there are any, or after wait. It returns ErrStale
+// once the last confirmation is older than maxAge and no new one has come in a short time.
 func watchLog(
 	ctx context.Context, log *catalog.ChangeLog, after catalog.Position, wait, maxAge time.Duration,
 ) (catalog.Changes, error) {
-	end := time.Now().Add(wait)
+	began := time.Now()
+	end := began.Add(wait)
+	staleEnd := began.Add(time.Duration(staleGraceShare * float64(maxAge)))
 	for {
 		changes, changed, err := log.Read(after)
 		now := time.Now()
@@ -140,7 +147,10 @@
 		case err != nil:
 			return catalog.Changes{}, err
 		case now.Sub(changes.ConfirmedAt) >= maxAge:
-			return catalog.Changes{}, ErrStale
+			if !now.Before(staleEnd) {
+				return catalog.Changes{}, ErrStale
+			}
+			next = staleEnd
 		case len(changes.Items) > 0 || !now.Before(end):
 			return changes, nil
 		default:
