upstream: the head of a response is bounded

Cause: an endpoint that sends a head, or informational responses, without end was read into memory until the deadline of the request.

Change: a response's head, with the informational responses before it, has at most 1 MB; then the connection is closed and the response counts as malformed.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -107,6 +108,8 @@
 // (1xx) responses and responses of earlier requests.
 func (x *exchange) readHead(r *Request) (*http.Response, error) {
 	method := &http.Request{Method: r.Method}
+	x.conn.limit.left = maxHeadBytes
+	defer func() { x.conn.limit.left = math.MaxInt64 }() // The reader of the body has its own bounds.
 	for {
 		resp, err := http.ReadResponse(x.conn.br, method)
 		if err != nil {
@@ -118,9 +121,11 @@
 		if r.MatchesResponse == nil || r.MatchesResponse(resp.Header) {
 			return resp, nil
 		}
+		x.conn.limit.left = math.MaxInt64
 		if err := x.skipResponse(resp); err != nil {
 			return nil, err
 		}
+		x.conn.limit.left = maxHeadBytes
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -45,6 +47,9 @@
 	maxIdleIfRunOnce  = 400 * time.Millisecond
 	readBufferBytes   = 8 << 10
 	maxIdlePerAddress = 16
+	// maxHeadBytes bounds the head of a response with the informational responses before it. Go's servers
+	// accept request heads of up to 1 MB.
+	maxHeadBytes = 1 << 20
 )
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
@@ -61,6 +66,7 @@
 type conn struct {
 	net.Conn
 	br          *bufio.Reader
+	limit       *readLimit    // What br reads from.
 	idleTimeout time.Duration // The connection is not reused after this idle time.
 	idleSince   time.Time
 }
@@ -108,7 +114,27 @@
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	limit := &readLimit{r: raw, left: math.MaxInt64}
+	return &conn{Conn: raw, br: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, idleTimeout: defaultIdleTimeout}, nil
+}
+
+// errHeadTooLong reports a response whose head exceeds maxHeadBytes.
+const errHeadTooLong = errors.ConstError("malformed response: head too long")
+
+// readLimit bounds the bytes that are read while a head is parsed.
+type readLimit struct {
+	r    io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (l *readLimit) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
