--- a/internal/catalog/changelog.go
+++ b/internal/catalog/changelog.go
@@ -197,8 +197,8 @@
 	}
 }
 
-// recover records the end of an outage.
-func (l *ChangeLog) recover(o Outage) {
+// recordOutage records the end of an outage.
+func (l *ChangeLog) recordOutage(o Outage) {
 	if l == nil {
 		return
 	}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -86,9 +86,9 @@
 	// MinInterval is the shortest interval between two watches of the store, so that frequent changes
 	// are batched. It does not apply to changes that another process has read.
 	MinInterval time.Duration
-	// Changes receives the changes for other processes. It may be nil.
-	Changes *ChangeLog
-	Log     *logrus.Entry
+	// ChangeLog receives the changes for other processes. It may be nil.
+	ChangeLog *ChangeLog
+	Log       *logrus.Entry
 
 	position    Position         // After the last listing or watch; zero before the first listing.
 	listed      bool             // A watch from position misses no change.
@@ -137,7 +137,7 @@
 			f.failures++
 			f.lastFailed = failedCall{began: began, took: time.Since(began)}
 		}
-		f.Changes.fail()
+		f.ChangeLog.fail()
 		f.beginOutage(err)
 		if sleep.For(ctx, wait-time.Since(began)) != nil {
 			break
@@ -159,7 +159,7 @@
 		f.markResponse()
 		f.applyListing(items, position)
 		f.confirmedAt = began
-		f.Changes.reset(items, position, began)
+		f.ChangeLog.reset(items, position, began)
 		return nil
 	}
 	changes, err := f.Store.Watch(ctx, f.Prefix, f.position, max(f.WatchTimeout-f.unconfirmed(), 0))
@@ -180,7 +180,7 @@
 	if changes.ConfirmedAt.After(f.confirmedAt) {
 		f.confirmedAt = changes.ConfirmedAt
 	}
-	f.Changes.extend(changes, f.position)
+	f.ChangeLog.extend(changes, f.position)
 	return nil
 }
 
@@ -199,7 +199,7 @@
 // recovered calls OnRecovered for an outage.
 func (f *Follower) recovered(o Outage) {
 	f.outage = o
-	f.Changes.recover(o)
+	f.ChangeLog.recordOutage(o)
 	if f.OnRecovered != nil {
 		f.OnRecovered(o.Back)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -225,7 +225,7 @@
 		Server{"topic": changes}.Mount(handler)
 		p.server = handler
 		followers = append(followers, &catalog.Follower{
-			Store: p.reader, WatchTimeout: p.reader.Freshness.WatchTimeout, Changes: changes, Log: logrus.NewEntry(log),
+			Store: p.reader, WatchTimeout: p.reader.Freshness.WatchTimeout, ChangeLog: changes, Log: logrus.NewEntry(log),
 			OnChange: func(i catalog.Item) {
 				p.mu.Lock()
 				defer p.mu.Unlock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -170,9 +170,9 @@
 		reader(relay.TopicRegistry, relay.Within(r.settings.EndpointDrainBound)), r.state, r.registryInterval(), r.log)
 	routers := platform.FollowRouters(
 		reader(relay.TopicRouters, relay.WithinDeferring(routersBound)), routersWatchInterval, r.log, r.updatePeer)
-	operator.Changes = r.changes[relay.TopicOperator]
-	registry.Changes = r.changes[relay.TopicRegistry]
-	routers.Changes = r.changes[relay.TopicRouters]
+	operator.ChangeLog = r.changes[relay.TopicOperator]
+	registry.ChangeLog = r.changes[relay.TopicRegistry]
+	routers.ChangeLog = r.changes[relay.TopicRouters]
 	return []*catalog.Follower{operator, registry, routers}
 }
 
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -11,6 +11,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
 	"github.com/hyssoptiller/hyssoptiller/internal/schedulerapi"
+	"github.com/hyssoptiller/hyssoptiller/internal/sleep"
 )
 
 const (
@@ -110,19 +111,21 @@
 // waitForChange waits for a change, for at least minWait and at most maxWait. It returns false if the
 // router has disconnected.
 func waitForChange(r *http.Request, changed <-chan struct{}, minWait, maxWait time.Duration) bool {
-	minTimer, maxTimer := time.NewTimer(min(minWait, maxWait)), time.NewTimer(maxWait)
-	defer minTimer.Stop()
-	defer maxTimer.Stop()
-	select {
-	case <-r.Context().Done():
+	began := time.Now()
+	if sleep.For(r.Context(), min(minWait, maxWait)) != nil {
 		return false
-	case <-minTimer.C:
 	}
+	rest := maxWait - time.Since(began)
+	if rest <= 0 {
+		return true
+	}
+	timer := time.NewTimer(rest)
+	defer timer.Stop()
 	select {
 	case <-r.Context().Done():
 		return false
 	case <-changed:
-	case <-maxTimer.C:
+	case <-timer.C:
 	}
 	return true
 }
