review: sound streams of a stopping router are cut for an endpoint's silence

Cause: a resumable stream is given up after 2 s of silence if another endpoint is registered, whether it would take the stream or not. Change: a script that shows it; nothing outside review/.

--- a/review/driver/runner.go
+++ b/review/driver/runner.go
@@ -38,7 +38,10 @@
 	events    int
 	newest    func(adapter string) int64 // Newest version of an adapter in the weight store.
 	preloaded []string
-	software  string // Version of the software; "" stands for v1.
+	// preemptAfter is the event after which the engine preempts a stream for a time, once; 0 for none.
+	preemptAfter int
+	preemption   time.Duration
+	software     string // Version of the software; "" stands for v1.
 
 	mu       sync.Mutex
 	life     *life
@@ -306,7 +309,15 @@
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
+		if i == r.preemptAfter {
+			r.f.record("runner %s preempts id %s for %s", r.name, id, r.preemption)
+			if !wait(req.Context(), r.preemption) {
+				r.f.record("runner %s: the connection of id %s was closed", r.name, id)
+				panic(http.ErrAbortHandler)
+			}
+		}
 	}
+	r.f.record("runner %s has made all events of id %s", r.name, id)
 }
 
 func (r *runner) serveReport(lf *life, w http.ResponseWriter) {
--- a/review/driver/takeup.go
+++ b/review/driver/takeup.go
@@ -32,11 +32,14 @@
 
 // stream is one stream of a client over its tries.
 type stream struct {
+	path     string
+	events   int
 	first    string // Id of the attempt that brought the first event.
 	software string
 	last     int // Id of the last event.
 	headers  map[string]string
 	complete bool
+	endedAt  time.Time
 	err      string
 }
 
@@ -45,7 +48,7 @@
 	ctx, cancel := context.WithTimeout(ctx, streamDeadline)
 	defer cancel()
 	id := newID()
-	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+to.callers+"/brief/x", strings.NewReader("notes"))
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+to.callers+s.path, strings.NewReader("notes"))
 	if err != nil {
 		panic(err)
 	}
@@ -100,7 +103,8 @@
 		}
 		s.last = event
 	}
-	s.complete = lines.Err() == nil && s.last == streamEvents
+	s.complete, s.endedAt = lines.Err() == nil && s.last == s.events, time.Now()
+	f.record("client: id %s: the answer ends after event %d of %d, error %v", id, s.last, s.events, lines.Err())
 	return began
 }
 
@@ -141,7 +145,7 @@
 	leave, left := context.WithCancel(context.Background())
 	defer left()
 	for n := range count {
-		s := &stream{headers: headers(n)}
+		s := &stream{path: "/brief/x", events: streamEvents, headers: headers(n)}
 		list = append(list, s)
 		clients.Go(func() { s.read(leave, f, f.routers[0]) })
 		time.Sleep(20 * time.Millisecond)
@@ -182,7 +186,7 @@
 			}
 		})
 		clients.Go(func() {
-			fresh := &stream{headers: headers(100 + n)}
+			fresh := &stream{path: "/brief/x", events: streamEvents, headers: headers(100 + n)}
 			if fresh.read(context.Background(), f, f.routers[1]) {
 				mu.Lock()
 				began++
