--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
 for program in target/hyssop-router target/hyssop-scheduler target/review-driver; do
   [ -x "$program" ] || { echo "$program is missing: run the build command of deploy/system.toml and review/build.sh" >&2; exit 2; }
 done
-exec target/review-driver crash-restart review/5
+exec target/review-driver spoiled-head review/5
