Observability: where a configuration was read, how old it was, and why a watch failed

The logs could not tell the hypotheses of the incident apart: a configuration's line had no size, age, decoding time or source, and a failed watch wrote no line. changes_read and watch_failed do, for each process; a request's line has the age of the configuration that it was handled with. No change of logic. Checked: go test of relay, catalog, router, platform.

--- a/internal/catalog/changelog.go
+++ b/internal/catalog/changelog.go
@@ -33,6 +33,17 @@
 	Relayed bool
 }
 
+// ValueBytes returns the size of all values, and of those that a later change of the same key replaces.
+func (c Changes) ValueBytes() (total, replaced int) {
+	last := make(map[string]int, len(c.Items))
+	for _, i := range c.Items {
+		total += len(i.Value)
+		replaced += last[i.Key]
+		last[i.Key] = len(i.Value)
+	}
+	return total, replaced
+}
+
 // ChangeLog holds the latest changes under a prefix, so that other processes can watch them here
 // instead of in the store. A Follower writes it. It is safe for concurrent use.
 //
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -42,6 +42,8 @@
 	direct  tally.Counter // Watches of the store.
 	relayed tally.Counter // Watches of relays that returned changes or confirmed that there are none.
 	failed  tally.Counter // Watches of relays that failed.
+	bytes   tally.Counter // Bytes of the values read, from relays and the store.
+	useless tally.Counter // Bytes of values that a later change in the same response replaced.
 
 	mu      sync.Mutex
 	chooser *relaychoice.Chooser
@@ -53,7 +55,8 @@
 	return &Relays{
 		client: &http.Client{Transport: transport}, log: log, chooser: relaychoice.NewChooser(vm, failureDomain),
 		direct: scope.Counter("direct_watches_total"), relayed: scope.Counter("relayed_watches_total"),
-		failed: scope.Counter("failed_watches_total"),
+		failed: scope.Counter("failed_watches_total"), bytes: scope.Counter("value_bytes_total"),
+		useless: scope.Counter("replaced_value_bytes_total"),
 	}
 }
 
@@ -105,6 +108,8 @@
 	Topic     string
 	Relays    *Relays
 	Freshness Freshness
+	// LogChanges logs each watch that returns changes. It is meant for topics that change rarely.
+	LogChanges bool
 
 	source      string    // VM of the relay of the last watch, "" for the store; for the log.
 	confirmedAt time.Time // Time up to which the last watch missed no change.
@@ -128,7 +133,9 @@
 		if !ok {
 			break
 		}
+		began := time.Now()
 		changes, err := r.watchRelay(ctx, source, after)
+		r.logWatch(source.VM, began, after, changes, err)
 		if err == nil {
 			r.logSource(source.VM, nil)
 			r.Relays.relayed.Inc(1)
@@ -164,7 +171,9 @@
 	ctx context.Context, prefix string, after catalog.Position, wait time.Duration,
 ) (catalog.Changes, error) {
 	r.Relays.direct.Inc(1)
+	began := time.Now()
 	changes, err := r.Store.Watch(ctx, prefix, after, wait)
+	r.logWatch("", began, after, changes, err)
 	switch {
 	case err == nil:
 		r.confirmedAt, r.failedAt = changes.ConfirmedAt, time.Time{}
@@ -188,6 +197,27 @@
 	r.source = vm
 }
 
+// logWatch counts the bytes of a watch and logs a failed one. If LogChanges is set, it also logs one that
+// returned changes. vm is that of the relay, "" for the store.
+func (r *Reader) logWatch(vm string, began time.Time, after catalog.Position, changes catalog.Changes, err error) {
+	total, replaced := changes.ValueBytes()
+	r.Relays.bytes.Inc(int64(total))
+	r.Relays.useless.Inc(int64(replaced))
+	log := r.Relays.log.WithFields(logrus.Fields{
+		"topic": r.Topic, "relay": vm, "took_ms": time.Since(began).Milliseconds(), "after": after.Revision,
+		"age_ms": time.Since(r.confirmedAt).Milliseconds(),
+	})
+	switch {
+	case err != nil:
+		log.WithError(err).WithField("event", "watch_failed").Info("watch of changes in the store failed")
+	case r.LogChanges && len(changes.Items) > 0:
+		log.WithFields(logrus.Fields{
+			"event": "changes_read", "revision": changes.Position.Revision, "items": len(changes.Items), "bytes": total,
+			"replaced_bytes": replaced, "new_age_ms": time.Since(changes.ConfirmedAt).Milliseconds(),
+		}).Info("changes in the store read")
+	}
+}
+
 // watchRelay watches a relay's change log.
 func (r *Reader) watchRelay(ctx context.Context, source relaychoice.Relay, after catalog.Position) (catalog.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Freshness.PollTimeout+responseMargin)
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -73,6 +73,7 @@
 	}
 	if q.config != nil {
 		fields["config"] = q.config.Version
+		fields["config_age_ms"] = q.configAge.Milliseconds()
 	}
 	if q.route != nil {
 		fields["route"] = q.route.Name
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -14,6 +14,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/quarantine"
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
+	"github.com/hyssoptiller/hyssoptiller/internal/relay"
 	"github.com/hyssoptiller/hyssoptiller/platform"
 )
 
@@ -32,6 +33,7 @@
 		w: w, in: in, arrived: time.Now(), config: r.state.View().Config, call: platform.ParseRequestHeader(in.Header),
 		tried: make(map[catalog.EndpointID]bool),
 	}
+	q.configAge = q.arrived.Sub(r.changes[relay.TopicOperator].ConfirmedAt())
 	q.ctx = in.Context()
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -20,11 +20,13 @@
 	arrived  time.Time
 	deadline time.Time // Time by which the caller gets the final response.
 	config   *catalog.Config
-	route    *catalog.Route
-	org      *catalog.Organisation // Nil on a public route.
-	service  *catalog.Service
-	body     []byte
-	units    float64 // Taken from the organisation's quota and not returned.
+	// configAge is the time from the last read of the store that the configuration includes to the arrival.
+	configAge time.Duration
+	route     *catalog.Route
+	org       *catalog.Organisation // Nil on a public route.
+	service   *catalog.Service
+	body      []byte
+	units     float64 // Taken from the organisation's quota and not returned.
 
 	tried        map[catalog.EndpointID]bool // Endpoints that are not tried again.
 	delivered    int                         // Sends that reached an endpoint.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -165,7 +165,9 @@
 // followers returns the followers of all topics. Each one fills the change log that other processes read.
 func (r *Router) followers() []*catalog.Follower {
 	reader := func(topic string, f relay.Freshness) *relay.Reader {
-		return &relay.Reader{Store: r.store, Topic: topic, Relays: r.relays, Freshness: f}
+		return &relay.Reader{
+			Store: r.store, Topic: topic, Relays: r.relays, Freshness: f, LogChanges: topic == relay.TopicOperator,
+		}
 	}
 	operator := platform.FollowOperator(
 		reader(relay.TopicOperator, relay.WithinDeferring(r.settings.ConfigBound)), r.state, r.log, nil)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -91,7 +91,9 @@
 	supervisor := process.NewSupervisor("scheduler", s.log, serverGrace)
 	relays := relay.NewRelays("", s.settings.FailureDomain, schedulerapi.NewTransport(), s.metrics.Scope.SubScope("changes"), s.log)
 	reader := func(topic string, bound time.Duration) *relay.Reader {
-		return &relay.Reader{Store: store, Topic: topic, Relays: relays, Freshness: relay.WithinDeferring(bound)}
+		return &relay.Reader{
+			Store: store, Topic: topic, Relays: relays, Freshness: relay.WithinDeferring(bound), LogChanges: topic == relay.TopicOperator,
+		}
 	}
 	supervisor.Add(platform.FollowOperator(reader(relay.TopicOperator, operatorBound), s.state, s.log, s.engine.SetFencingToken))
 	supervisor.Add(platform.FollowRouters(reader(relay.TopicRouters, routersBound), routersWatchInterval, s.log,
