catalog: a change log keeps the newest value of a key only

What callers see: after a series of changes, versions that nobody needs any more keep the newest one from coming into force. A process that lagged behind a relay was sent every version since its position, up to 2 MB, over the link that was the reason for its lag.

The log drops a value when another one replaces it; the last value before a deletion stays. TestChangeLogKeepsNewestValueOnly failed before (100 changes of two keys, want 2).

TestChangeLogRejectsPositionsThatItDoesNotCover filled the log with 4,097 values of one key, which need one entry now; it uses that many keys, with the same checks.

--- a/internal/catalog/changelog.go
+++ b/internal/catalog/changelog.go
@@ -49,7 +49,8 @@
 //
 // Invariants:
 //
-//   - A watch from a position of the log's epoch either misses no significant change or fails.
+//   - A watch from a position of the log's epoch either misses no significant change or fails. A value that
+//     another one has replaced since is not in the log.
 //   - ConfirmedAt of a read is never later than that of the Follower.
 type ChangeLog struct {
 	// Insignificant reports whether other processes need not see that an item replaces another one.
@@ -186,8 +187,18 @@
 	}
 }
 
-// append adds an entry in the order of at. The caller holds l.mu.
+// append adds an entry in the order of at and removes the value that it replaces. The last value before a
+// deletion stays. The caller holds l.mu.
 func (l *ChangeLog) append(e logEntry) {
+	for i := len(l.entries) - 1; i >= 0 && !e.item.Deleted; i-- {
+		if old := l.entries[i].item; old.Key == e.item.Key {
+			if !old.Deleted {
+				l.bytes -= len(old.Value)
+				l.entries = slices.Delete(l.entries, i, i+1)
+			}
+			break
+		}
+	}
 	if n := len(l.entries); n > 0 {
 		e.at = max(e.at, l.entries[n-1].at)
 	}
--- a/internal/catalog/changelog_test.go
+++ b/internal/catalog/changelog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"maps"
+	"strconv"
 	"testing"
 	"time"
 
@@ -96,7 +97,7 @@
 	expect("next epoch", Position{3, 1}, ErrBehind)
 	expect("at the listing", Position{2, 5}, nil)
 	for i := range int64(maxLoggedChanges + 1) {
-		log.extend(Changes{Items: []Item{{Key: "a", Revision: 6 + i}}}, Position{2, 6 + i})
+		log.extend(Changes{Items: []Item{{Key: strconv.FormatInt(i, 10), Revision: 6 + i}}}, Position{2, 6 + i})
 	}
 	expect("dropped changes", Position{2, 5}, ErrCompacted)
 	expect("kept changes", Position{2, 6}, nil)
@@ -112,6 +113,27 @@
 	expect("closed", Position{2, 9001}, ErrUnavailable)
 }
 
+// A process that lags behind gets the newest value of a key, not all values since its position.
+func TestChangeLogKeepsNewestValueOnly(t *testing.T) {
+	log := NewChangeLog(nil)
+	log.reset(nil, Position{1, 1}, time.Now())
+	for i := range int64(50) {
+		log.extend(Changes{Items: []Item{{Key: "config", Revision: 2 + 2*i, Value: make([]byte, 1000)}, {Key: "other", Revision: 3 + 2*i}}}, Position{1, 3 + 2*i})
+	}
+	changes, _, err := log.Read(Position{1, 1})
+	if err != nil || len(changes.Items) != 2 || log.bytes != 1000 {
+		t.Fatalf("changes = %+v, error %v, log of %d bytes; want the newest value of two keys, 1000 bytes", changes.Items, err, log.bytes)
+	}
+	for i, want := range []int64{100, 101} {
+		if changes.Items[i].Revision != want {
+			t.Errorf("change %d has revision %d, want %d", i, changes.Items[i].Revision, want)
+		}
+	}
+	if changes, _, _ = log.Read(Position{1, 100}); len(changes.Items) != 1 {
+		t.Errorf("changes after 100 = %+v, want one", changes.Items)
+	}
+}
+
 // An outage that a relay noticed starts the grace period here too, unless this process reached the
 // store meanwhile: then only the relay was cut off.
 func TestOutageOfRelayIsAdoptedUnlessTheStoreWasReached(t *testing.T) {
