relay: an item that is large and changes often is listed, not watched

What callers see: requests run with withdrawn keys, and new routes are refused, for as long as a series of changes goes on, and after it until the store has lost its history.

Cause: a watch of the store returns all versions since its position. On a link of 10 Mbit/s a series of 30 KB each 50 ms takes longer to read than to write; the call ended with its timeout and began anew from the same position, with more to read. A response above 4 MB could not be read at all.

After a watch that returned a large value, and after one that failed, the next read is a listing, which has each item once; a watch follows once nothing has changed. Two reads that return changes are a twentieth of the bound apart.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"maps"
+	"reflect"
 	"slices"
 	"sync"
 	"testing"
@@ -369,3 +370,54 @@
 	s.SetConfig(config(4, "draft"))
 	check("same service in a newer configuration", now.Add(-10*time.Second), "v2", "draft")
 }
+
+// fixedStore returns one listing, then prepared changes.
+type fixedStore struct {
+	listing []Item
+	changes []Changes
+}
+
+func (s *fixedStore) List(context.Context, string) ([]Item, Position, error) {
+	return s.listing, Position{1, 5}, nil
+}
+
+func (s *fixedStore) Watch(ctx context.Context, _ string, _ Position, _ time.Duration) (Changes, error) {
+	if len(s.changes) == 0 {
+		<-ctx.Done()
+		return Changes{}, ctx.Err()
+	}
+	c := s.changes[0]
+	s.changes = s.changes[1:]
+	return c, nil
+}
+
+// A complete list of items stands for all changes since: items that it lacks were deleted, also for those who read
+// the change log.
+func TestCompleteChangesDeleteMissingItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fixedStore{
+			listing: []Item{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}, {Key: "c", Revision: 5}},
+			changes: []Changes{{
+				Items:    []Item{{Key: "a", Revision: 3}, {Key: "c", Revision: 8}},
+				Position: Position{1, 9}, ConfirmedAt: time.Now(), Complete: true,
+			}},
+		}
+		changed := NewChangeLog(nil)
+		var got []Item
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		f := &Follower{Store: store, ChangeLog: changed, Log: logrus.NewEntry(log), OnChange: func(i Item) { got = append(got, i) }}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = f.Serve(ctx) }()
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		want := []Item{{Key: "c", Revision: 8}, {Key: "b", Revision: 9, Deleted: true}}
+		if !reflect.DeepEqual(got[3:], want) {
+			t.Errorf("changes = %+v, want %+v", got[3:], want)
+		}
+		if read, _, err := changed.Read(Position{1, 5}); err != nil || !reflect.DeepEqual(read.Items, want) {
+			t.Errorf("log after the listing = %+v, error %v, want %+v", read.Items, err, want)
+		}
+	})
+}
--- a/internal/catalog/changelog.go
+++ b/internal/catalog/changelog.go
@@ -31,6 +31,8 @@
 	Outage Outage
 	// Relayed is set if another process read the store.
 	Relayed bool
+	// Complete is set if Items are all items at Position, not only the changed ones.
+	Complete bool
 }
 
 // ValueBytes returns the size of all values, and of those that a later change of the same key replaces.
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -169,6 +169,9 @@
 	f.relayed = changes.Relayed
 	f.markResponse()
 	f.adoptOutage(changes.Outage)
+	if changes.Complete {
+		changes.Items = append(changes.Items, f.missing(changes)...)
+	}
 	applied := changes.Items[:0]
 	for _, item := range changes.Items {
 		if f.apply(item) {
@@ -252,6 +255,21 @@
 	}
 }
 
+// missing returns the deletions of the known items that a complete list of items lacks.
+func (f *Follower) missing(changes Changes) []Item {
+	present := make(map[string]bool, len(changes.Items))
+	for _, item := range changes.Items {
+		present[item.Key] = true
+	}
+	var out []Item
+	for key := range f.revisions {
+		if !present[key] {
+			out = append(out, Item{Key: key, Revision: changes.Position.Revision, Deleted: true})
+		}
+	}
+	return out
+}
+
 // apply passes an item to OnChange unless a revision at least as new is already known. It reports
 // whether it did.
 func (f *Follower) apply(item Item) bool {
--- a/internal/relay/freshness.go
+++ b/internal/relay/freshness.go
@@ -15,6 +15,8 @@
 	MaxAge       time.Duration // Age from which relayed changes are stale.
 	PollTimeout  time.Duration // Longest wait of a watch of a relay.
 	MaxJitter    time.Duration // Longest random delay before the store is read in place of a relay.
+	// BatchInterval is the shortest time between two reads of the store that return changes.
+	BatchInterval time.Duration
 	// ProbeInterval is the shortest time between a failed watch of the store and the next one, for a process
 	// that does not read the store for others. 0 leaves it to the Follower.
 	ProbeInterval time.Duration
@@ -28,6 +30,7 @@
 	maxAgeShare       = 0.6
 	pollTimeoutShare  = 0.4
 	maxJitterShare    = 0.05
+	batchShare        = 0.05
 	probeShare        = 0.5
 )
 
@@ -44,6 +47,6 @@
 	share := func(s float64) time.Duration { return time.Duration(s * float64(bound)) }
 	return Freshness{
 		WatchTimeout: share(watchTimeoutShare), MaxAge: share(maxAgeShare),
-		PollTimeout: share(pollTimeoutShare), MaxJitter: share(maxJitterShare),
+		PollTimeout: share(pollTimeoutShare), MaxJitter: share(maxJitterShare), BatchInterval: share(batchShare),
 	}
 }
--- a/internal/relay/links_test.go
+++ b/internal/relay/links_test.go
@@ -273,7 +273,7 @@
 		p.server = router
 		reader := &Reader{Store: p, Topic: "topic", Relays: relays, Freshness: WithinDeferring(linkBound)}
 		follower := &catalog.Follower{
-			Store: reader, WatchTimeout: reader.Freshness.WatchTimeout, ChangeLog: changes, Log: logrus.NewEntry(log), OnChange: p.apply,
+			Store: reader, WatchTimeout: reader.Freshness.WatchTimeout, MinInterval: reader.Freshness.BatchInterval, ChangeLog: changes, Log: logrus.NewEntry(log), OnChange: p.apply,
 		}
 		f.wait.Go(func() { _ = follower.Serve(ctx) })
 	}
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -28,6 +29,9 @@
 	maxResponseBytes = 4 << 20
 	// maxTime is above each time in a response: no watch is held and no outage is reported for as long.
 	maxTime = time.Hour
+	// largeValueBytes is the size from which a value counts as large: the store is not asked for all versions
+	// of it that followed one another.
+	largeValueBytes = 16 << 10
 	// maxRelayAttempts bounds the relays that are called for one watch.
 	maxRelayAttempts = 3
 )
@@ -114,12 +118,18 @@
 	source      string    // VM of the relay of the last watch, "" for the store; for the log.
 	confirmedAt time.Time // Time up to which the last watch missed no change.
 	failedAt    time.Time // Last failed watch of the store; zero if the last one succeeded.
+	large       bool      // The last value of some item was large.
+	listNext    bool      // The next read of the store is a listing.
 }
 
 // List implements catalog.Store. It reads the store, so that its position is newer than the start of
 // the process.
 func (r *Reader) List(ctx context.Context, prefix string) ([]catalog.Item, catalog.Position, error) {
-	return r.Store.List(ctx, prefix)
+	items, position, err := r.Store.List(ctx, prefix)
+	if err == nil {
+		r.large, r.listNext = hasLargeValue(items, 0), false
+	}
+	return items, position, err
 }
 
 // Watch implements catalog.Store. It calls another relay in place of a failed one only while the last
@@ -140,6 +150,7 @@
 			r.logSource(source.VM, nil)
 			r.Relays.relayed.Inc(1)
 			r.confirmedAt = changes.ConfirmedAt
+			r.large = r.large || hasLargeValue(changes.Items, after.Revision)
 		}
 		if err == nil || errors.Is(err, catalog.ErrRestored) || ctx.Err() != nil {
 			return changes, err
@@ -172,8 +183,13 @@
 ) (catalog.Changes, error) {
 	r.Relays.direct.Inc(1)
 	began := time.Now()
-	changes, err := r.Store.Watch(ctx, prefix, after, wait)
+	read := r.Store.Watch
+	if r.listNext {
+		read = r.listChanges
+	}
+	changes, err := read(ctx, prefix, after, wait)
 	r.logWatch("", began, after, changes, err)
+	r.planRead(changes, after, err)
 	switch {
 	case err == nil:
 		r.confirmedAt, r.failedAt = changes.ConfirmedAt, time.Time{}
@@ -183,6 +199,39 @@
 	return changes, err
 }
 
+// listChanges returns all items as a watch does, without a wait. Unlike a watch it returns each item once, however
+// often it changed.
+func (r *Reader) listChanges(
+	ctx context.Context, prefix string, after catalog.Position, _ time.Duration,
+) (catalog.Changes, error) {
+	began := time.Now()
+	items, position, err := r.Store.List(ctx, prefix)
+	if err != nil {
+		return catalog.Changes{}, err
+	}
+	if position.Epoch != after.Epoch || position.Revision < after.Revision {
+		return catalog.Changes{}, catalog.ErrRestored
+	}
+	return catalog.Changes{Items: items, Position: position, ConfirmedAt: began, Complete: true}, nil
+}
+
+// planRead decides how the store is read next. While a large item changes, it is listed: a watch would return all
+// versions written since the last one, which takes longer the longer it takes. That is also how a
+// watch fails that had to return too many.
+func (r *Reader) planRead(changes catalog.Changes, after catalog.Position, err error) {
+	if err != nil {
+		r.listNext = r.large
+		return
+	}
+	r.listNext = hasLargeValue(changes.Items, after.Revision)
+	r.large = r.large || r.listNext
+}
+
+// hasLargeValue reports whether the value of an item that changed after a revision is large.
+func hasLargeValue(items []catalog.Item, after int64) bool {
+	return slices.ContainsFunc(items, func(i catalog.Item) bool { return i.Revision > after && len(i.Value) >= largeValueBytes })
+}
+
 // logSource logs that the changes come from another source than before. err is the reason why the
 // relay is not used.
 func (r *Reader) logSource(vm string, err error) {
