relay: a changed value is sent as its difference from the former one

What callers see: requests run with withdrawn keys, and new routes are refused, seconds after the change was acknowledged.

Cause: each change of the configuration is the whole configuration, and one router of a failure domain, mostly on a link of 10 Mbit/s, sent it to each of some fifteen other processes. A series of 30 KB each 50 ms is 72 Mbit/s.

A caller of a relay names the revisions of the values that it has; the relay keeps former values (2 MB) and answers with the difference, which it computes once for all callers. A value that it does not know is replaced by the whole one, compressed. A process of the former build names no revision and gets whole values.

--- a/internal/catalog/changelog.go
+++ b/internal/catalog/changelog.go
@@ -13,6 +13,13 @@
 	maxLoggedBytes   = 2 << 20
 )
 
+// MinKeptBytes is the size from which a ChangeLog keeps former values of items. maxKeptBytes bounds all of
+// them; the latest two are kept in any case.
+const (
+	MinKeptBytes = 1 << 10
+	maxKeptBytes = 2 << 20
+)
+
 // Outage is a time in which the store did not respond.
 type Outage struct {
 	Began time.Time // First failed call.
@@ -66,6 +73,8 @@
 	floor       int64 // Changes up to this revision are not in the log.
 	entries     []logEntry
 	bytes       int
+	kept        []Item // Latest values of at least MinKeptBytes, also replaced ones, oldest first.
+	keptBytes   int
 	last        map[string]Item // Last value of each item, if Insignificant is set.
 	unlogged    map[string]bool // Keys whose last value is not in the log.
 	confirmedAt time.Time
@@ -119,6 +128,31 @@
 	return l.confirmedAt
 }
 
+// Value returns the value that a key had since a revision of the log's epoch, if the log still has it.
+func (l *ChangeLog) Value(key string, revision int64) ([]byte, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, i := range l.kept {
+		if i.Key == key && i.Revision == revision {
+			return i.Value, true
+		}
+	}
+	return nil, false
+}
+
+// keep keeps a value for Value. The caller holds l.mu.
+func (l *ChangeLog) keep(item Item) {
+	if len(item.Value) < MinKeptBytes {
+		return
+	}
+	l.kept = append(l.kept, item)
+	l.keptBytes += len(item.Value)
+	for l.keptBytes > maxKeptBytes && len(l.kept) > 2 {
+		l.keptBytes -= len(l.kept[0].Value)
+		l.kept = slices.Delete(l.kept, 0, 1)
+	}
+}
+
 // Close ends all reads, because the process ends.
 func (l *ChangeLog) Close() {
 	l.mu.Lock()
@@ -135,10 +169,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.entries, l.bytes, l.floor = nil, 0, position.Revision
+	l.kept, l.keptBytes = nil, 0
 	clear(l.last)
 	clear(l.unlogged)
 	for _, item := range items {
 		l.remember(item)
+		l.keep(item)
 	}
 	l.listed, l.failing, l.position, l.confirmedAt = true, false, position, confirmedAt
 	l.notify()
@@ -153,6 +189,7 @@
 	defer l.mu.Unlock()
 	for _, item := range c.Items {
 		l.add(item)
+		l.keep(item)
 	}
 	l.position, l.failing = position, false
 	if c.ConfirmedAt.After(l.confirmedAt) {
--- a/internal/catalog/changelog_test.go
+++ b/internal/catalog/changelog_test.go
@@ -157,3 +157,23 @@
 		}
 	}
 }
+
+// Former values of large items are kept within a bound, the latest two in any case.
+func TestFormerValuesAreKeptWithinBound(t *testing.T) {
+	for size, wantKept := range map[int]int64{MinKeptBytes - 1: 0, MinKeptBytes: 20, maxKeptBytes / 4: 4, 2 * maxKeptBytes: 2} {
+		log := NewChangeLog(nil)
+		log.reset([]Item{{Key: "config", Revision: 1, Value: make([]byte, size)}}, Position{1, 1}, time.Now())
+		for revision := int64(2); revision <= 20; revision++ {
+			log.extend(Changes{Items: []Item{{Key: "config", Revision: revision, Value: make([]byte, size)}}}, Position{1, revision})
+		}
+		for revision := int64(1); revision <= 20; revision++ {
+			if _, kept := log.Value("config", revision); kept != (revision > 20-wantKept) {
+				t.Errorf("values of %d bytes: revision %d kept %t, want the latest %d", size, revision, kept, wantKept)
+			}
+		}
+		log.reset(nil, Position{2, 1}, time.Now())
+		if _, kept := log.Value("config", 20); kept {
+			t.Errorf("values of %d bytes: kept after a listing of another epoch", size)
+		}
+	}
+}
--- a/internal/relay/links_test.go
+++ b/internal/relay/links_test.go
@@ -269,7 +269,7 @@
 		}
 		changes := catalog.NewChangeLog(nil)
 		router := chi.NewRouter()
-		Server{"topic": changes}.Mount(router)
+		NewServer(map[string]*catalog.ChangeLog{"topic": changes}).Mount(router)
 		p.server = router
 		reader := &Reader{Store: p, Topic: "topic", Relays: relays, Freshness: WithinDeferring(linkBound)}
 		follower := &catalog.Follower{
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -120,6 +120,7 @@
 	failedAt    time.Time // Last failed watch of the store; zero if the last one succeeded.
 	large       bool      // The last value of some item was large.
 	listNext    bool      // The next read of the store is a listing.
+	held        heldValues
 }
 
 // List implements catalog.Store. It reads the store, so that its position is newer than the start of
@@ -128,6 +129,8 @@
 	items, position, err := r.Store.List(ctx, prefix)
 	if err == nil {
 		r.large, r.listNext = hasLargeValue(items, 0), false
+		r.held = nil
+		r.held.update(items)
 	}
 	return items, position, err
 }
@@ -151,6 +154,7 @@
 			r.Relays.relayed.Inc(1)
 			r.confirmedAt = changes.ConfirmedAt
 			r.large = r.large || hasLargeValue(changes.Items, after.Revision)
+			r.held.update(changes.Items)
 		}
 		if err == nil || errors.Is(err, catalog.ErrRestored) || ctx.Err() != nil {
 			return changes, err
@@ -193,6 +197,7 @@
 	switch {
 	case err == nil:
 		r.confirmedAt, r.failedAt = changes.ConfirmedAt, time.Time{}
+		r.held.update(changes.Items)
 	case errors.Is(err, catalog.ErrUnavailable):
 		r.failedAt = time.Now()
 	}
@@ -277,6 +282,10 @@
 		paramAfter:    {strconv.FormatInt(after.Revision, 10)},
 		paramWaitMS:   {strconv.FormatInt(r.Freshness.PollTimeout.Milliseconds(), 10)},
 		paramMaxAgeMS: {strconv.FormatInt(r.Freshness.MaxAge.Milliseconds(), 10)},
+		paramHave:     {"0"},
+	}
+	for _, i := range r.held {
+		query.Add(paramHave, strconv.FormatInt(i.Revision, 10))
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+source.Address+pathChanges+"?"+query.Encode(), nil)
 	if err != nil {
@@ -298,11 +307,30 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&in); err != nil {
 		return catalog.Changes{}, errors.WithType(err, ErrNoResponse)
 	}
-	return in.decode(after, sent, time.Now(), r.Freshness.MaxAge)
+	changes, err := in.decode(after, sent, time.Now(), r.Freshness.MaxAge)
+	if err != nil {
+		return catalog.Changes{}, err
+	}
+	changes.Items, err = r.decodeItems(in.Items)
+	return changes, err
 }
 
-// decode returns the changes in a response to a call that was sent and whose response was received at
-// the given times.
+// decodeItems decodes the items that a relay sent. After an error the next relay sends whole values.
+func (r *Reader) decodeItems(in []wireItem) ([]catalog.Item, error) {
+	out := make([]catalog.Item, 0, len(in))
+	for _, i := range in {
+		value, err := r.held.decode(i)
+		if err != nil {
+			clear(r.held)
+			return nil, err
+		}
+		out = append(out, catalog.Item{Key: i.Key, Value: value, Revision: i.Revision, Deleted: i.Deleted})
+	}
+	return out, nil
+}
+
+// decode returns the changes, without the items, in a response to a call that was sent and whose response was
+// received at the given times.
 func (in wireChanges) decode(after catalog.Position, sent, received time.Time, maxAge time.Duration) (catalog.Changes, error) {
 	if in.Epoch != after.Epoch || !validMS(in.AgeMS) || !validMS(in.HeldMS) ||
 		in.Outage != nil && !(validMS(in.Outage.BeganMS) && validMS(in.Outage.BackMS)) {
@@ -314,8 +342,7 @@
 		written = received.Add(-transit)
 	}
 	out := catalog.Changes{
-		Items: make([]catalog.Item, 0, len(in.Items)), Position: catalog.Position{Epoch: in.Epoch, Revision: in.Revision},
-		ConfirmedAt: written.Add(-millis(in.AgeMS)), Relayed: true,
+		Position: catalog.Position{Epoch: in.Epoch, Revision: in.Revision}, ConfirmedAt: written.Add(-millis(in.AgeMS)), Relayed: true,
 	}
 	if received.Sub(out.ConfirmedAt) >= maxAge {
 		return catalog.Changes{}, ErrStale
@@ -323,9 +350,6 @@
 	if in.Outage != nil {
 		out.Outage = catalog.Outage{Began: written.Add(-millis(in.Outage.BeganMS)), Back: written.Add(-millis(in.Outage.BackMS))}
 	}
-	for _, i := range in.Items {
-		out.Items = append(out.Items, catalog.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
-	}
 	return out, nil
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -222,7 +222,7 @@
 		p.reader = &Reader{Store: storeConn{f.store, p.faults}, Topic: "topic", Relays: known, Freshness: WithinDeferring(testBound)}
 		changes := catalog.NewChangeLog(nil)
 		handler := chi.NewRouter()
-		Server{"topic": changes}.Mount(handler)
+		NewServer(map[string]*catalog.ChangeLog{"topic": changes}).Mount(handler)
 		p.server = handler
 		followers = append(followers, &catalog.Follower{
 			Store: p.reader, WatchTimeout: p.reader.Freshness.WatchTimeout, ChangeLog: changes, Log: logrus.NewEntry(log),
@@ -434,7 +434,7 @@
 // Invalid calls and responses are rejected.
 func TestInvalidWatchesAreRejected(t *testing.T) {
 	handler := chi.NewRouter()
-	Server{"topic": catalog.NewChangeLog(nil)}.Mount(handler)
+	NewServer(map[string]*catalog.ChangeLog{"topic": catalog.NewChangeLog(nil)}).Mount(handler)
 	for query, want := range map[string]int{
 		"topic=other&epoch=1&after=1&waitMs=1&maxAgeMs=1": http.StatusBadRequest,
 		"topic=topic&epoch=x&after=1&waitMs=1&maxAgeMs=1": http.StatusBadRequest,
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -33,6 +33,9 @@
 	paramAfter    = "after"
 	paramWaitMS   = "waitMs"
 	paramMaxAgeMS = "maxAgeMs"
+	// paramHave is the revision of a value that the caller has. It may be repeated. A caller that understands deltas
+	// sends at least one, which may be 0.
+	paramHave = "have"
 )
 
 // ErrStale reports that a relay read the store longer ago than the bound.
@@ -50,6 +53,8 @@
 type wireItem struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value,omitempty"`
+	Delta    []byte `json:"delta,omitempty"` // Replaces Value: its encoding with respect to the value of the revision Base.
+	Base     int64  `json:"base,omitempty"`  // 0 is the empty value.
 	Revision int64  `json:"revision"`
 	Deleted  bool   `json:"deleted,omitempty"`
 }
@@ -70,22 +75,31 @@
 }
 
 // Server serves the change logs of its process by topic.
-type Server map[string]*catalog.ChangeLog
+type Server struct {
+	logs   map[string]*catalog.ChangeLog
+	deltas deltaCache
+}
+
+// NewServer returns a Server of change logs.
+func NewServer(logs map[string]*catalog.ChangeLog) *Server { return &Server{logs: logs} }
+
+// Log returns the change log of a topic, or nil.
+func (s *Server) Log(topic string) *catalog.ChangeLog { return s.logs[topic] }
 
 // Mount adds the handler to r.
-func (s Server) Mount(r chi.Router) { r.Get(pathChanges, s.serveChanges) }
+func (s *Server) Mount(r chi.Router) { r.Get(pathChanges, s.serveChanges) }
 
 // Close ends all watches, so that their callers choose another relay before the process ends.
-func (s Server) Close() {
-	for _, log := range s {
+func (s *Server) Close() {
+	for _, log := range s.logs {
 		log.Close()
 	}
 }
 
-func (s Server) serveChanges(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serveChanges(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
 	q := r.URL.Query()
-	log := s[q.Get(paramTopic)]
+	log := s.logs[q.Get(paramTopic)]
 	epoch, epochErr := strconv.ParseInt(q.Get(paramEpoch), 10, 64)
 	after, afterErr := strconv.ParseInt(q.Get(paramAfter), 10, 64)
 	waitMS, waitErr := strconv.ParseInt(q.Get(paramWaitMS), 10, 64)
@@ -116,12 +130,30 @@
 		out.Outage = &wireOutage{BeganMS: sinceMS(o.Began, now), BackMS: sinceMS(o.Back, now)}
 	}
 	for _, i := range changes.Items {
-		out.Items = append(out.Items, wireItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+		out.Items = append(out.Items, s.encodeItem(log, changes.Position.Epoch, i, q[paramHave]))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(out) // The caller notices a response that is cut.
 }
 
+// encodeItem returns an item for a caller that has the values of some revisions; have is empty for a caller that
+// does not understand deltas.
+func (s *Server) encodeItem(log *catalog.ChangeLog, epoch int64, i catalog.Item, have []string) wireItem {
+	out := wireItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted}
+	if len(have) == 0 || len(i.Value) < catalog.MinKeptBytes {
+		return out
+	}
+	var base []byte
+	for _, h := range have[:min(len(have), maxHave)] {
+		revision, err := strconv.ParseInt(h, 10, 64)
+		if value, known := log.Value(i.Key, revision); err == nil && known {
+			base, out.Base = value, revision
+		}
+	}
+	out.Value, out.Delta = nil, s.deltas.encode(i.Key, epoch, out.Base, i.Revision, base, i.Value)
+	return out
+}
+
 // sinceMS returns the time from t to now in milliseconds, rounded up.
 func sinceMS(t, now time.Time) int64 {
 	return int64((now.Sub(t) + time.Millisecond - 1) / time.Millisecond)
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -33,7 +33,7 @@
 		w: w, in: in, arrived: time.Now(), config: r.state.View().Config, call: platform.ParseRequestHeader(in.Header),
 		tried: make(map[catalog.EndpointID]bool),
 	}
-	q.configAge = q.arrived.Sub(r.changes[relay.TopicOperator].ConfirmedAt())
+	q.configAge = q.arrived.Sub(r.changes.Log(relay.TopicOperator).ConfirmedAt())
 	q.ctx = in.Context()
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -61,7 +61,7 @@
 	schedulerConns  *schedulerConns
 	endpointTracker *endpointTracker
 	relays          *relay.Relays
-	changes         relay.Server
+	changes         *relay.Server
 	peers           *quota.Peers
 	quota           *quota.Ledger
 	endpointLimits  *quota.EndpointLimits
@@ -92,11 +92,11 @@
 	transport := schedulerapi.NewTransport()
 	r.schedulerConns = newSchedulerConns(s.SchedulerPort, transport, log)
 	r.relays = relay.NewRelays(s.VM, s.FailureDomain, schedulerapi.NewTransport(), metrics.Scope.SubScope("changes"), log)
-	r.changes = relay.Server{
+	r.changes = relay.NewServer(map[string]*catalog.ChangeLog{
 		relay.TopicOperator: catalog.NewChangeLog(nil),
 		relay.TopicRegistry: catalog.NewChangeLog(platform.IsHeartbeat),
 		relay.TopicRouters:  catalog.NewChangeLog(nil),
-	}
+	})
 	r.peers = quota.NewPeers(s.VM, schedulerapi.NewTransport(), log)
 	r.quota = quota.NewLedger(r.peers, r.state.View, log)
 	r.endpointLimits = quota.NewEndpointLimits(r.peers, log)
@@ -175,14 +175,14 @@
 		reader(relay.TopicRegistry, relay.Within(r.settings.EndpointDrainBound)), r.state, r.registryInterval(), r.log)
 	routers := platform.FollowRouters(
 		reader(relay.TopicRouters, relay.WithinDeferring(routersBound)), routersWatchInterval, r.log, r.updatePeer)
-	operator.ChangeLog = r.changes[relay.TopicOperator]
-	registry.ChangeLog = r.changes[relay.TopicRegistry]
-	routers.ChangeLog = r.changes[relay.TopicRouters]
+	operator.ChangeLog = r.changes.Log(relay.TopicOperator)
+	registry.ChangeLog = r.changes.Log(relay.TopicRegistry)
+	routers.ChangeLog = r.changes.Log(relay.TopicRouters)
 	return []*catalog.Follower{operator, registry, routers}
 }
 
 // registryLog returns the change log of the registered endpoints.
-func (r *Router) registryLog() *catalog.ChangeLog { return r.changes[relay.TopicRegistry] }
+func (r *Router) registryLog() *catalog.ChangeLog { return r.changes.Log(relay.TopicRegistry) }
 
 // service is a named function run by a supervisor.
 type service struct {
