relay: after a time without a read a large item is listed

Cause: the processes that lost their relay watched the store from a position 1.5 s back and were sent all versions since, 10 MB in the test, over links of 10 Mbit/s.

A process that has read nothing for two batch intervals lists a large item in place of watching it; that includes a process that stood still itself.

--- a/internal/relay/listing_test.go
+++ b/internal/relay/listing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -30,6 +31,9 @@
 
 func (s *scriptedStore) Watch(_ context.Context, _ string, after catalog.Position, _ time.Duration) (catalog.Changes, error) {
 	s.calls = append(s.calls, fmt.Sprint("watch ", after.Revision))
+	if s.err != nil {
+		time.Sleep(time.Second)
+	}
 	var items []catalog.Item
 	for _, i := range s.items {
 		if i.Revision > after.Revision {
@@ -48,12 +52,7 @@
 		err      error
 		wantCall string
 	}
-	for name, steps := range map[string][]step{
-		"small item":                   {{small, nil, "watch 1"}, {small, nil, "watch 2"}, {-1, catalog.ErrUnavailable, "watch 3"}, {-1, nil, "watch 3"}},
-		"large item":                   {{large, nil, "watch 1"}, {large, nil, "list"}, {-1, nil, "list"}, {-1, nil, "watch 3"}},
-		"large item beside small ones": {{large, nil, "watch 1"}, {small, nil, "list"}, {-1, nil, "watch 3"}},
-		"failed watch":                 {{large, nil, "watch 1"}, {-1, nil, "list"}, {large, catalog.ErrUnavailable, "watch 2"}, {-1, catalog.ErrUnavailable, "list"}, {-1, nil, "list"}},
-	} {
+	testCase := func(t *testing.T, name string, steps []step) {
 		store := &scriptedStore{position: catalog.Position{Epoch: 1, Revision: 1}}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
@@ -75,6 +74,14 @@
 			}
 		}
 	}
+	for name, steps := range map[string][]step{
+		"small item":                   {{small, nil, "watch 1"}, {small, nil, "watch 2"}, {-1, catalog.ErrUnavailable, "watch 3"}, {-1, nil, "watch 3"}},
+		"large item":                   {{large, nil, "watch 1"}, {large, nil, "list"}, {-1, nil, "list"}, {-1, nil, "watch 3"}},
+		"large item beside small ones": {{large, nil, "watch 1"}, {small, nil, "list"}, {-1, nil, "watch 3"}},
+		"failed watch":                 {{large, nil, "watch 1"}, {-1, nil, "list"}, {large, catalog.ErrUnavailable, "watch 2"}, {-1, catalog.ErrUnavailable, "list"}, {-1, nil, "list"}},
+	} {
+		synctest.Test(t, func(t *testing.T) { testCase(t, name, steps) })
+	}
 }
 
 // A listing in place of a watch is of the store epoch that is followed, and not older than what is known.
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -32,6 +32,8 @@
 	// largeValueBytes is the size from which a value counts as large: the store is not asked for all versions
 	// of it that followed one another.
 	largeValueBytes = 16 << 10
+	// maxReadPause is the number of batch intervals without a read after which large items are listed.
+	maxReadPause = 2
 	// maxRelayAttempts bounds the relays that are called for one watch.
 	maxRelayAttempts = 3
 )
@@ -117,6 +119,7 @@
 
 	source      string    // VM of the relay of the last watch, "" for the store; for the log.
 	confirmedAt time.Time // Time up to which the last watch missed no change.
+	readAt      time.Time // End of the last listing or watch that did not fail.
 	failedAt    time.Time // Last failed watch of the store; zero if the last one succeeded.
 	large       bool      // The last value of some item was large.
 	listNext    bool      // The next read of the store is a listing.
@@ -128,7 +131,7 @@
 func (r *Reader) List(ctx context.Context, prefix string) ([]catalog.Item, catalog.Position, error) {
 	items, position, err := r.Store.List(ctx, prefix)
 	if err == nil {
-		r.large, r.listNext = hasLargeValue(items, 0), false
+		r.large, r.listNext, r.readAt = hasLargeValue(items, 0), false, time.Now()
 		r.held = nil
 		r.held.update(items)
 	}
@@ -152,7 +155,7 @@
 		if err == nil {
 			r.logSource(source.VM, nil)
 			r.Relays.relayed.Inc(1)
-			r.confirmedAt = changes.ConfirmedAt
+			r.confirmedAt, r.readAt = changes.ConfirmedAt, time.Now()
 			r.large = r.large || hasLargeValue(changes.Items, after.Revision)
 			r.held.update(changes.Items)
 		}
@@ -182,21 +185,24 @@
 	return time.Since(r.failedAt) < r.Freshness.ProbeInterval && !r.Relays.isReader()
 }
 
+// watchStore reads the store. While a large item changes, and after a time without a read, it is listed: a watch would
+// return all versions written since the last read, which takes longer the longer it takes.
 func (r *Reader) watchStore(
 	ctx context.Context, prefix string, after catalog.Position, wait time.Duration,
 ) (catalog.Changes, error) {
 	r.Relays.direct.Inc(1)
 	began := time.Now()
 	read := r.Store.Watch
-	if r.listNext {
+	if r.listNext || r.large && time.Since(r.readAt) > maxReadPause*r.Freshness.BatchInterval {
 		read = r.listChanges
 	}
 	changes, err := read(ctx, prefix, after, wait)
 	r.logWatch("", began, after, changes, err)
-	r.planRead(changes, after, err)
 	switch {
 	case err == nil:
-		r.confirmedAt, r.failedAt = changes.ConfirmedAt, time.Time{}
+		r.confirmedAt, r.readAt, r.failedAt = changes.ConfirmedAt, time.Now(), time.Time{}
+		r.listNext = hasLargeValue(changes.Items, after.Revision)
+		r.large = r.large || r.listNext
 		r.held.update(changes.Items)
 	case errors.Is(err, catalog.ErrUnavailable):
 		r.failedAt = time.Now()
@@ -220,18 +226,6 @@
 	return catalog.Changes{Items: items, Position: position, ConfirmedAt: began, Complete: true}, nil
 }
 
-// planRead decides how the store is read next. While a large item changes, it is listed: a watch would return all
-// versions written since the last one, which takes longer the longer it takes. That is also how a
-// watch fails that had to return too many.
-func (r *Reader) planRead(changes catalog.Changes, after catalog.Position, err error) {
-	if err != nil {
-		r.listNext = r.large
-		return
-	}
-	r.listNext = hasLargeValue(changes.Items, after.Revision)
-	r.large = r.large || r.listNext
-}
-
 // hasLargeValue reports whether the value of an item that changed after a revision is large.
 func hasLargeValue(items []catalog.Item, after int64) bool {
 	return slices.ContainsFunc(items, func(i catalog.Item) bool { return i.Revision > after && len(i.Value) >= largeValueBytes })
