relaychoice: the router with the fastest link and processor reads the store for its failure domain

What callers see: changes of a very large configuration are late on every process of a failure domain whose reader is on a slow link.

Cause: the reader was the first by hash, whatever its link (10 Mbit/s for 18 of 28 routers of a site with 200 Mbit/s for the others) and its share of a core.

Routers register both (HYSSOP_LINK_MBPS, HYSSOP_CPU_SHARE; 0 is unknown, as for a former build, and comes last). Of equal ones the hash decides as before. TestRouterOfHighestCapacityReadsTheStore, TestCapacityIsThatOfTheTighterLimit.

--- a/internal/policy/relaychoice/doc.go
+++ b/internal/policy/relaychoice/doc.go
@@ -1,5 +1,5 @@
 // Package relaychoice decides from which process a process reads the changes of the store. In each
-// failure domain one router, the first by rendezvous hashing, reads the store; the other processes of
+// failure domain one router, the first by capacity and rendezvous hashing, reads the store; the other processes of
 // the domain read the changes from it. The number of processes that read the store grows with the
 // failure domains, not with the processes.
 //
--- a/internal/policy/relaychoice/relaychoice.go
+++ b/internal/policy/relaychoice/relaychoice.go
@@ -1,6 +1,7 @@
 package relaychoice
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -20,13 +21,26 @@
 	VM            string
 	Address       string
 	FailureDomain string
+	Capacity      float64 // Changes that it can relay, in Mbit/s; 0 if unknown.
+}
+
+// coreMbps is what one core encodes and sends, in Mbit/s.
+const coreMbps = 400
+
+// Capacity returns what a VM can relay by its link and its share of a core. 0 is an unknown link or share.
+func Capacity(linkMbps, cpuShare float64) float64 {
+	link, cpu := max(linkMbps, 0), max(cpuShare, 0)*coreMbps
+	if link == 0 || cpu == 0 {
+		return max(link, cpu)
+	}
+	return min(link, cpu)
 }
 
 // Chooser chooses the relay of one process.
 type Chooser struct {
 	self   Relay // Its VM is "" if the process itself is no relay.
 	relays map[string]Relay
-	order  []Relay              // Relays of the failure domain, or all if it has none, best first.
+	order  []Relay              // Relays of the failure domain, or all if it has none, best first: by capacity, then by hash.
 	until  map[string]time.Time // Time before which a relay is not chosen, by VM.
 }
 
@@ -94,9 +108,6 @@
 	key := rendezvous.Hash(c.self.FailureDomain)
 	score := func(r Relay) uint64 { return rendezvous.Score(key, rendezvous.Hash(r.VM)) }
 	slices.SortFunc(c.order, func(a, b Relay) int {
-		if score(a) > score(b) {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(score(b), score(a)))
 	})
 }
--- a/internal/policy/relaychoice/relaychoice_test.go
+++ b/internal/policy/relaychoice/relaychoice_test.go
@@ -83,3 +83,45 @@
 		t.Errorf("choice without relays in the failure domain = %+v, want the one of another", r)
 	}
 }
+
+// The process that can relay the most reads for the others, whatever the order in which they are known. Routers
+// of a former build, whose capacity is unknown, come last; of equal ones the hash decides.
+func TestRouterOfHighestCapacityReadsTheStore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	relays := []Relay{
+		{VM: "former", FailureDomain: "a"},
+		{VM: "slow-1", FailureDomain: "a", Capacity: Capacity(10, 0.144)},
+		{VM: "slow-2", FailureDomain: "a", Capacity: Capacity(10, 0.144)},
+		{VM: "fast", FailureDomain: "a", Capacity: Capacity(200, 0.8)},
+		{VM: "elsewhere", FailureDomain: "b", Capacity: Capacity(1000, 1)},
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		c := NewChooser("", "a")
+		for _, r := range rapid.Permutation(relays).Draw(t, "order") {
+			c.Set(r)
+		}
+		var order []string
+		for {
+			r, ok := c.Choose(now)
+			if !ok {
+				break
+			}
+			order = append(order, r.VM)
+			c.Exclude(r.VM, now.Add(time.Second))
+		}
+		if len(order) != 4 || order[0] != "fast" || order[3] != "former" {
+			t.Fatalf("order = %v, want fast, the two slow ones and former", order)
+		}
+	})
+}
+
+// The capacity is bounded by the link and by the processor; what is unknown does not count.
+func TestCapacityIsThatOfTheTighterLimit(t *testing.T) {
+	for _, tc := range []struct{ link, cpu, want float64 }{
+		{10, 0.144, 10}, {200, 0.8, 200}, {2000, 0.5, 200}, {10, 0, 10}, {0, 0.5, 200}, {0, 0, 0}, {-1, -1, 0}, {-5, 0.5, 200},
+	} {
+		if got := Capacity(tc.link, tc.cpu); got != tc.want {
+			t.Errorf("capacity of a link of %g Mbit/s and %g of a core = %g, want %g", tc.link, tc.cpu, got, tc.want)
+		}
+	}
+}
--- a/internal/relay/links_test.go
+++ b/internal/relay/links_test.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/relaychoice"
 )
 
 const (
@@ -264,7 +265,9 @@
 		relays := NewRelays(vm, "a", linkTransport{f, p.down}, tally.NoopScope, logrus.NewEntry(log))
 		for _, r := range f.processes {
 			if r.relays {
-				relays.Update(r.name, r.name, "a", true)
+				relays.Update(relaychoice.Relay{
+					VM: r.name, Address: r.name, FailureDomain: "a", Capacity: relaychoice.Capacity(r.up.rate/mbit, r.decode/50e6),
+				}, true)
 			}
 		}
 		changes := catalog.NewChangeLog(nil)
@@ -346,6 +349,7 @@
 		"100 KB each 60 ms":               {100 << 10, 60 * time.Millisecond, 50, 0, false},
 		"300 KB once":                     {300 << 10, 0, 1, 0, false},
 		"300 KB each 60 ms":               {300 << 10, 60 * time.Millisecond, 25, 0, false},
+		"1 MB each 60 ms, fast router":    {1 << 20, 60 * time.Millisecond, 40, 1, false},
 		"30 KB each 50 ms, relay paused":  {30 << 10, 50 * time.Millisecond, 120, 0, true},
 		"300 KB each 60 ms, relay paused": {300 << 10, 60 * time.Millisecond, 25, 0, true},
 	} {
--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -66,15 +66,15 @@
 	}
 }
 
-// Update adds or changes the relay on a VM, or removes it.
-func (r *Relays) Update(vm, address, failureDomain string, present bool) {
+// Update adds or changes the relay on a VM, or removes it; then only its VM needs to be set.
+func (r *Relays) Update(relay relaychoice.Relay, present bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !present {
-		r.chooser.Remove(vm)
+		r.chooser.Remove(relay.VM)
 		return
 	}
-	r.chooser.Set(relaychoice.Relay{VM: vm, Address: address, FailureDomain: failureDomain})
+	r.chooser.Set(relay)
 }
 
 func (r *Relays) choose() (relaychoice.Relay, bool) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -217,7 +217,7 @@
 		f.processes[self.Address] = p
 		known := NewRelays(self.VM, self.FailureDomain, f, tally.NoopScope, logrus.NewEntry(log))
 		for _, r := range relays {
-			known.Update(r.VM, r.Address, r.FailureDomain, true)
+			known.Update(r, true)
 		}
 		p.reader = &Reader{Store: storeConn{f.store, p.faults}, Topic: "topic", Relays: known, Freshness: WithinDeferring(testBound)}
 		changes := catalog.NewChangeLog(nil)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -142,6 +142,7 @@
 	front := process.NewSupervisor("front", r.log, frontGrace)
 	registration := platform.RouterRegistration{
 		VM: r.settings.VM, Address: r.settings.PeersAddress, FailureDomain: r.settings.FailureDomain,
+		LinkMbps: r.settings.LinkMbps, CPUShare: r.settings.CPUShare,
 	}
 	registrationCtx, deregister := context.WithCancel(context.WithoutCancel(ctx))
 	defer deregister()
@@ -233,7 +234,7 @@
 
 // updatePeer adds or removes a router that appeared in or left the store.
 func (r *Router) updatePeer(found platform.RouterRegistration, present bool) {
-	r.relays.Update(found.VM, found.Address, found.FailureDomain, present)
+	r.relays.Update(found.Relay(), present)
 	r.streamOrigins.updateRouter(found, present)
 	if present {
 		r.peers.Add(quota.Peer{VM: found.VM, Address: found.Address})
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -17,6 +17,8 @@
 	StoreAddress       string        // Address of the key-value store.
 	SchedulerPort      int           // Port of the schedulers on the engines' VMs.
 	MemoryMB           int           // Memory of the VM; 0 sets no limit.
+	LinkMbps           float64       // Rate of the VM's link; 0 if unknown.
+	CPUShare           float64       // Share of a core that the VM has; 0 if unknown.
 	ShutdownGrace      time.Duration // Time from SIGTERM to the exit of the process.
 	EndpointDrainBound time.Duration // How long a draining endpoint may still be used.
 	ConfigBound        time.Duration // Time in which a change of the configuration must be in force.
@@ -36,6 +38,8 @@
 	c.RequireAddress("store", s.StoreAddress)
 	c.RequireAtLeast("scheduler-port", int64(s.SchedulerPort), 1)
 	c.RequireAtLeast("memory-mb", int64(s.MemoryMB), 0)
+	c.RequireNotNegative("link-mbps", s.LinkMbps)
+	c.RequireNotNegative("cpu-share", s.CPUShare)
 	c.RequirePositive("grace", s.ShutdownGrace)
 	c.RequirePositive("drain-bound", s.EndpointDrainBound)
 	c.RequirePositive("config-bound", s.ConfigBound)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -98,7 +98,7 @@
 	supervisor.Add(platform.FollowOperator(reader(relay.TopicOperator, operatorBound), s.state, s.log, s.engine.SetFencingToken))
 	supervisor.Add(platform.FollowRouters(reader(relay.TopicRouters, routersBound), routersWatchInterval, s.log,
 		func(r platform.RouterRegistration, present bool) {
-			relays.Update(r.VM, r.Address, r.FailureDomain, present)
+			relays.Update(r.Relay(), present)
 		}))
 	supervisor.Add(&endpointLookup{
 		engine: s.engine,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/url"
 	"strconv"
@@ -68,6 +69,13 @@
 	}
 }
 
+// RequireNotNegative requires value to be a finite number that is not negative.
+func (c *Checker) RequireNotNegative(flag string, value float64) {
+	if math.IsNaN(value) || math.IsInf(value, 0) || value < 0 {
+		c.Problemf(flag, "value is %g; must be a number that is not negative", value)
+	}
+}
+
 // AddError records err as a problem of the flag's setting, unless err is nil.
 func (c *Checker) AddError(flag string, err error) {
 	if err != nil {
