platform, relay: a response that makes progress is not cut by a fixed timeout

What callers see: a large configuration is not in force on VMs whose links are slow or shared: each read of it is cut and begun anew.

Bytes received extend the deadline by the time that they take at 64 KB/s, so that a response that stalls or trickles still ends.

--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -18,6 +18,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/relaychoice"
+	"github.com/hyssoptiller/hyssoptiller/internal/progress"
 	"github.com/hyssoptiller/hyssoptiller/internal/sleep"
 )
 
@@ -268,8 +269,8 @@
 
 // watchRelay watches a relay's change log.
 func (r *Reader) watchRelay(ctx context.Context, source relaychoice.Relay, after catalog.Position) (catalog.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.Freshness.PollTimeout+responseMargin)
-	defer cancel()
+	ctx, deadline := progress.WithTimeout(ctx, r.Freshness.PollTimeout+responseMargin)
+	defer deadline.Stop()
 	query := url.Values{
 		paramTopic:    {r.Topic},
 		paramEpoch:    {strconv.FormatInt(after.Epoch, 10)},
@@ -298,7 +299,7 @@
 		return catalog.Changes{}, errors.WithType(errors.Errorf("relay responded with status %d", resp.StatusCode), ErrNoResponse)
 	}
 	var in wireChanges
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&in); err != nil {
+	if err := json.NewDecoder(io.LimitReader(deadline.Reader(resp.Body), maxResponseBytes)).Decode(&in); err != nil {
 		return catalog.Changes{}, errors.WithType(err, ErrNoResponse)
 	}
 	changes, err := in.decode(after, sent, time.Now(), r.Freshness.MaxAge)
