catalog: a process that applies large changes leaves half of the processor to others

What callers see: during a series of changes of a large configuration, small VMs answer late.

Cause: a follower reads the next change as soon as it has applied one. A configuration of 1 MB takes some 150 ms of a VM with 0.144 cores, and changes may come each 60 ms.

A pause as long as the changes took to apply follows them.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -421,3 +421,38 @@
 		}
 	})
 }
+
+// seriesStore has a change for each watch, as if another process had read it.
+type seriesStore struct{ revision int64 }
+
+func (s *seriesStore) List(context.Context, string) ([]Item, Position, error) {
+	return nil, Position{1, 1}, nil
+}
+
+func (s *seriesStore) Watch(context.Context, string, Position, time.Duration) (Changes, error) {
+	s.revision++
+	return Changes{
+		Items: []Item{{Key: "config", Revision: 1 + s.revision}}, Position: Position{1, 1 + s.revision}, ConfirmedAt: time.Now(), Relayed: true,
+	}, nil
+}
+
+// Pattern: changes of a large configuration follow one another faster than a small VM decodes them. Before, it decoded all the
+// time, and requests got no processor.
+func TestSeriesOfChangesLeavesHalfOfTheProcessor(t *testing.T) {
+	const decoding, window = 150 * time.Millisecond, 30 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		busy := time.Duration(0)
+		f := &Follower{Store: &seriesStore{}, Log: logrus.NewEntry(log), OnChange: func(Item) {
+			time.Sleep(decoding)
+			busy += decoding
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), window)
+		defer cancel()
+		_ = f.Serve(ctx)
+		if busy > window/2+decoding || busy < window/3 {
+			t.Errorf("decoded for %s of %s, want about half of it", busy, window)
+		}
+	})
+}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -84,7 +84,8 @@
 	// most. A watch during an outage does not wait, so that the first one after it succeeds at once.
 	WatchTimeout time.Duration
 	// MinInterval is the shortest interval between two watches of the store, so that frequent changes
-	// are batched. It does not apply to changes that another process has read.
+	// are batched. It does not apply to changes that another process has read. In any case a pause as long as the changes
+	// took to apply follows them, so that a series of large ones leaves half of the processor to others.
 	MinInterval time.Duration
 	// ChangeLog receives the changes for other processes. It may be nil.
 	ChangeLog *ChangeLog
@@ -99,6 +100,7 @@
 	respondedAt time.Time        // Last response of the store; zero before the first one.
 	confirmedAt time.Time        // Time up to which no change is missing; zero before the first listing.
 	relayed     bool             // Another process read the last changes.
+	applying    time.Duration    // Time in OnChange since the last pause.
 	outage      Outage           // Last outage that OnRecovered was called for.
 	back        time.Time        // Earliest time at which the store may have been back before that response.
 }
@@ -115,10 +117,15 @@
 	wait := minRetryDelay
 	for ctx.Err() == nil {
 		began := time.Now()
+		f.applying = 0
 		err := f.step(ctx)
 		if err == nil {
 			wait = minRetryDelay
-			if !f.relayed && sleep.For(ctx, f.MinInterval-time.Since(began)) != nil {
+			pause := f.applying
+			if !f.relayed {
+				pause = max(pause, f.MinInterval-time.Since(began))
+			}
+			if sleep.For(ctx, pause) != nil {
 				break
 			}
 			continue
@@ -286,7 +293,9 @@
 	} else {
 		f.revisions[item.Key] = item.Revision
 	}
+	began := time.Now()
 	f.OnChange(item)
+	f.applying += time.Since(began)
 	return true
 }
 
