relay: data races in the model of links

The model's store returned a part of its history, which the follower reuses in place, and the search for the relay read counters without their lock. go test -race -short ./internal/relay failed before and passes now.

--- a/internal/relay/links_test.go
+++ b/internal/relay/links_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -79,7 +80,7 @@
 func (s *linkStore) after(revision int64) ([]catalog.Item, int64, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.history[min(int(revision), len(s.history)):], int64(len(s.history)), s.changed
+	return slices.Clone(s.history[min(int(revision), len(s.history)):]), int64(len(s.history)), s.changed
 }
 
 // dueRevision returns the newest revision that was acknowledged before a time.
@@ -391,11 +392,13 @@
 
 // pauseSource pauses the process that has sent the most to others.
 func (f *linkFleet) pauseSource() {
-	source := f.processes[0]
+	source, most := f.processes[0], 0.0
 	for _, p := range f.processes {
-		if p.up.sent > source.up.sent {
-			source = p
+		p.up.mu.Lock()
+		if p.up.sent > most {
+			source, most = p, p.up.sent
 		}
+		p.up.mu.Unlock()
 	}
 	source.mu.Lock()
 	defer source.mu.Unlock()
