upstream: a response that names no request proves nothing where the endpoint named one before

What callers see: 'not run, try again' for a request that an endpoint has run or is running, or such a request runs at a second endpoint.

Cause: a faulty endpoint writes an earlier refusal once more on a kept connection, where the next response is expected. With the id of the earlier request it was skipped already. Without an id it counted as the next request's own, and its promise was believed.

Once a connection has returned a response with the request's id, one without an id ends the connection, and the request counts as possibly run. Endpoints that never name requests are used as before. TestRepeatedRefusalIsNotTakenForTheNextResponse: the row without an id failed before (503 taken), the one with an id passed.

--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -49,7 +49,7 @@
 	endpoint := p.endpoint
 	upReq := &upstream.Request{
 		Method: q.in.Method, URI: requestURI(q.in), Host: q.in.Host, Header: q.endpointHeader(endpoint.ID, p.adapterVersion()),
-		Body: q.body, NonIdempotent: !q.route.Idempotent(), MatchesResponse: q.ownsResponse,
+		Body: q.body, NonIdempotent: !q.route.Idempotent(), MatchResponse: q.matchResponse,
 	}
 	upResp, err := r.pool.Do(q.ctx, endpoint.Address, upReq, silenceLimit)
 	if err != nil {
@@ -106,11 +106,16 @@
 	}
 }
 
-// ownsResponse reports whether a response belongs to the request. A response without a request
-// id counts as its own.
-func (q *request) ownsResponse(h http.Header) bool {
-	id := platform.ParseResponseHead(http.StatusOK, h).RequestID
-	return id == q.call.RequestID || id == ""
+// matchResponse decides by the request id in a response whether it belongs to the request.
+func (q *request) matchResponse(h http.Header) upstream.Match {
+	switch platform.ParseResponseHead(http.StatusOK, h).RequestID {
+	case q.call.RequestID:
+		return upstream.MatchOwn
+	case "":
+		return upstream.MatchUnnamed
+	default:
+		return upstream.MatchOther
+	}
 }
 
 // readResponse reads the whole response before any of it is forwarded, so that a truncated
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -22,11 +22,21 @@
 	Header        http.Header
 	Body          []byte
 	NonIdempotent bool // The request must not run twice.
-	// MatchesResponse reports whether a response belongs to this request. Responses of earlier
+	// MatchResponse decides whether a response belongs to this request. Responses of earlier
 	// requests on a reused connection are skipped. Nil accepts every response.
-	MatchesResponse func(http.Header) bool
+	MatchResponse func(http.Header) Match
 }
 
+// Match is the relation of a response to a request.
+type Match int
+
+// Values of Match.
+const (
+	MatchOwn     Match = iota // The response names the request.
+	MatchOther                // The response names another request.
+	MatchUnnamed              // The response names no request. It is the request's own unless the endpoint named one before.
+)
+
 // Response is the response of an endpoint. The receiver must call Close.
 type Response struct {
 	Status int
@@ -118,8 +128,18 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.MatchesResponse == nil || r.MatchesResponse(resp.Header) {
+		match := MatchOwn
+		if r.MatchResponse != nil {
+			match = r.MatchResponse(resp.Header)
+		}
+		switch {
+		case match == MatchOwn:
+			x.conn.named = r.MatchResponse != nil
+			return resp, nil
+		case match == MatchUnnamed && !x.conn.named:
 			return resp, nil
+		case match == MatchUnnamed:
+			return nil, ErrWrongResponse
 		}
 		x.conn.limit.left = math.MaxInt64
 		if err := x.skipResponse(resp); err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -69,6 +69,7 @@
 	limit       *readLimit    // What br reads from.
 	idleTimeout time.Duration // The connection is not reused after this idle time.
 	idleSince   time.Time
+	named       bool // A response has named its request.
 }
 
 // NewPool returns an empty Pool that dials TCP.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -112,7 +112,7 @@
 }
 
 // A late response to an earlier request arrives before the response to the current
-// one. Request.MatchesResponse rejects it by its id, and Do skips it.
+// one. Request.MatchResponse rejects it by its id, and Do skips it.
 func TestLateResponseToEarlierRequestIsSkipped(t *testing.T) {
 	address, _ := serve(t, func(c net.Conn, r *http.Request, n int) bool {
 		late := ""
@@ -125,7 +125,7 @@
 	p := NewPool()
 	for _, id := range []string{"1", "2"} {
 		q := newRequest(id)
-		q.MatchesResponse = func(h http.Header) bool { return h.Get("Id") == id }
+		q.MatchResponse = matchID(id)
 		r, err := p.Do(t.Context(), address, q, 0)
 		if err != nil {
 			t.Fatal(err)
@@ -136,6 +136,64 @@
 	}
 }
 
+// matchID returns the MatchResponse of a request whose responses have its id in their header.
+func matchID(id string) func(http.Header) Match {
+	return func(h http.Header) Match {
+		switch h.Get("Id") {
+		case id:
+			return MatchOwn
+		case "":
+			return MatchUnnamed
+		default:
+			return MatchOther
+		}
+	}
+}
+
+// A faulty endpoint writes an earlier refusal once more, where the next response is expected. The refusal says that a
+// request did not run, and it is not that of this request: with the id of the earlier one it is skipped, without an id it
+// proves nothing.
+func TestRepeatedRefusalIsNotTakenForTheNextResponse(t *testing.T) {
+	for name, tc := range map[string]struct {
+		repeated string // Header of the repeated refusal.
+		wantErr  error
+	}{
+		"with the id of the earlier request": {"Id: 1\r\n", nil},
+		"without an id":                      {"", ErrWrongResponse},
+	} {
+		address, _ := serve(t, func(c net.Conn, r *http.Request, n int) bool {
+			if n == 1 {
+				return write(c, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\nId: 1\r\n\r\n")
+			}
+			return write(c, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"+tc.repeated+"\r\n"+
+				"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nId: 2\r\n\r\nown")
+		})
+		p := NewPool()
+		do := func(id string) (*Response, error) {
+			q := newRequest(id)
+			q.MatchResponse = matchID(id)
+			return p.Do(t.Context(), address, q, 0)
+		}
+		first, err := do("1")
+		if err != nil || first.Status != http.StatusServiceUnavailable {
+			t.Fatalf("%s: first response %+v, error %v; want the refusal", name, first, err)
+		}
+		if _, err := readBody(t, first); err != nil {
+			t.Fatal(name, err)
+		}
+		second, err := do("2")
+		if tc.wantErr != nil {
+			if !errors.Is(err, tc.wantErr) || !errors.Is(err, ErrConnectionBroken) {
+				t.Errorf("%s: second response %+v, error %v; want %v, so that the request may have run", name, second, err, tc.wantErr)
+			}
+			continue
+		}
+		if err != nil || second.Status != http.StatusOK {
+			t.Errorf("%s: second response %+v, error %v; want its own", name, second, err)
+		}
+	}
+}
+
 func TestTruncatedResponseIsReportedBroken(t *testing.T) {
 	for name, text := range map[string]string{
 		"shorter than its length": "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
