router: a stream that is taken up is not guessed from a registry older than the take-up

What callers see: a stream goes on at an endpoint of another software version than the one that began it.

Cause: where no record of a stream was found, a router took the only software version that it knew of as the one that began it, if it had read the registry within the drain bound. A router that was cut off or suspended for a moment, while endpoints of a new version joined, did not know of these yet, and a record that only their schedulers hold is not found by it either.

Such a take-up waits until the router knows the registry as of the take-up's arrival, within the drain bound, and is refused as not run, with a Retry-After, if it does not come to that. Streams whose record is found do not wait. TestTakeUpAwaitsRegistryOfItsArrival: without the wait the take-up is refused for good (with a history of 30 s it would go on at the known version, by reading); with it, it gets a Retry-After until the registry is read. TestRouterThatStartsDoesNotGiveStreamsUp now lets the router read the registry instead of marking it as read; its checks are the same.

--- a/internal/catalog/changelog.go
+++ b/internal/catalog/changelog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -128,6 +129,23 @@
 	return l.confirmedAt
 }
 
+// AwaitConfirmation returns once the log misses no change up to t. It returns false if ctx ends before that.
+func (l *ChangeLog) AwaitConfirmation(ctx context.Context, t time.Time) bool {
+	for {
+		l.mu.Lock()
+		confirmed, changed := l.listed && !l.confirmedAt.Before(t), l.changed
+		l.mu.Unlock()
+		if confirmed {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // Value returns the value that a key had since a revision of the log's epoch, if the log still has it.
 func (l *ChangeLog) Value(key string, revision int64) ([]byte, bool) {
 	l.mu.Lock()
--- a/internal/router/streamorigins.go
+++ b/internal/router/streamorigins.go
@@ -135,6 +135,14 @@
 	return key
 }
 
+// awaitRegistry waits until the router knows all endpoints that were registered at a time. It returns false if it
+// does not within the time in which a change of the registry must be in force, or before ctx ends.
+func (r *Router) awaitRegistry(ctx context.Context, at time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, r.settings.EndpointDrainBound)
+	defer cancel()
+	return r.registryLog().AwaitConfirmation(ctx, at)
+}
+
 // soleOrigin returns the only origin that streams of the request's route can have since a time. Its version is ""
 // if there were several, or the registry is not known well enough.
 func (r *Router) soleOrigin(q *request, since time.Time) streamorigin.Origin {
@@ -163,8 +171,16 @@
 	if id := q.call.ResumedRequestID; id != "" && len(id) <= maxAttemptIDBytes {
 		found = r.streamOrigins.client.Lookup(q.ctx, q.streamKey(id), streamorigin.HoldersForLookup(id, r.streamOrigins.holders(v)))
 	}
-	horizon := max(minStreamHorizon, streamHorizonFactor*q.route.Timeout)
-	origin, verdict := streamorigin.Resolve(found, r.soleOrigin(q, q.arrived.Add(-horizon)))
+	sole := streamorigin.Origin{}
+	if !found.Found() && !found.Conflict {
+		// Other routers may have begun the stream at endpoints that this one does not know yet.
+		if !r.awaitRegistry(q.ctx, q.arrived) {
+			return r.refuseResumption(q, "registry_late", "It is not known yet which endpoints serve.", minRetryAfter)
+		}
+		horizon := max(minStreamHorizon, streamHorizonFactor*q.route.Timeout)
+		sole = r.soleOrigin(q, q.arrived.Add(-horizon))
+	}
+	origin, verdict := streamorigin.Resolve(found, sole)
 	if verdict == streamorigin.VerdictUnclear {
 		return r.refuseResumption(q, "holders_silent", "It is not known yet where the stream began.", minRetryAfter)
 	}
--- a/internal/router/streamorigins_test.go
+++ b/internal/router/streamorigins_test.go
@@ -57,7 +57,7 @@
 	if w := takeUp(r); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
 		t.Errorf("before the registry is read: status %d, Retry-After %q; want 503 with Retry-After", w.Code, w.Header().Get("Retry-After"))
 	}
-	r.state.MarkListed()
+	followRegistry(t, r, confirmingStore{})
 	if w := takeUp(r); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") != "" {
 		t.Errorf("of an unknown stream: status %d, Retry-After %q; want 503 without Retry-After", w.Code, w.Header().Get("Retry-After"))
 	}
@@ -75,6 +75,67 @@
 	return catalog.Changes{}, ctx.Err()
 }
 
+// confirmingStore is a silentStore that confirms all the time that nothing has changed.
+type confirmingStore struct{ silentStore }
+
+func (confirmingStore) Watch(_ context.Context, _ string, after catalog.Position, _ time.Duration) (catalog.Changes, error) {
+	time.Sleep(time.Millisecond)
+	return catalog.Changes{Position: after, ConfirmedAt: time.Now()}, nil
+}
+
+// followRegistry lets a router read its registry from a store until the test ends, and waits for the first listing.
+func followRegistry(t *testing.T, r *Router, store catalog.Store) {
+	t.Helper()
+	listed := make(chan struct{})
+	follower := &catalog.Follower{
+		Store: store, ChangeLog: r.registryLog(), OnChange: func(catalog.Item) {}, Log: r.log, WatchTimeout: time.Minute,
+		OnListed: func(catalog.Position) { close(listed) },
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(stop)
+	go func() { _ = follower.Serve(ctx) }() // Returns at the end of ctx.
+	<-listed
+	r.state.MarkListed()
+}
+
+// Guards against a guess by a router that was out of step for a moment, cut off or suspended, while endpoints of another
+// software version joined: it has read the registry lately, but not since the stream can have begun at them.
+func TestTakeUpAwaitsRegistryOfItsArrival(t *testing.T) {
+	const bound = 300 * time.Millisecond
+	r := startedRouter(t)
+	r.settings.EndpointDrainBound = bound
+	r.state.SetEndpoint(&catalog.Endpoint{ID: "e", Service: "llm", SoftwareVersion: "v1"})
+	step := make(chan struct{})
+	followRegistry(t, r, steppedStore{step: step})
+	if w := takeUp(r); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		t.Errorf("out of step: status %d, Retry-After %q; want 503 with Retry-After", w.Code, w.Header().Get("Retry-After"))
+	}
+	arrived := time.Now()
+	if r.awaitRegistry(t.Context(), arrived) {
+		t.Error("registry counts as known at a time after its last read")
+	}
+	r.settings.EndpointDrainBound = 10 * time.Second
+	time.AfterFunc(bound/3, func() { close(step) })
+	if !r.awaitRegistry(t.Context(), arrived) {
+		t.Error("registry counts as unknown after it was read again")
+	}
+}
+
+// steppedStore is a silentStore whose first watch after the step is answered.
+type steppedStore struct {
+	silentStore
+	step chan struct{}
+}
+
+func (s steppedStore) Watch(ctx context.Context, _ string, after catalog.Position, _ time.Duration) (catalog.Changes, error) {
+	select {
+	case <-s.step:
+		return catalog.Changes{Position: after, ConfirmedAt: time.Now()}, nil
+	case <-ctx.Done():
+		return catalog.Changes{}, ctx.Err()
+	}
+}
+
 // Guards against a guess from a registry that the router has not read lately, from the time before it was
 // read, or for a route whose service changed.
 func TestSoleOriginNeedsCurrentRegistry(t *testing.T) {
@@ -86,16 +147,7 @@
 	if got := r.soleOrigin(q, time.Now()); got.Software != "" {
 		t.Errorf("before the registry is read: sole origin %v, want none", got)
 	}
-	listed := make(chan struct{})
-	follower := &catalog.Follower{
-		Store: silentStore{}, ChangeLog: r.registryLog(), OnChange: func(catalog.Item) {}, Log: r.log, WatchTimeout: time.Minute,
-		OnListed: func(catalog.Position) { close(listed) },
-	}
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	go func() { _ = follower.Serve(ctx) }() // Returns at the end of ctx.
-	<-listed
-	r.state.MarkListed()
+	followRegistry(t, r, silentStore{})
 	began := time.Now()
 	want := streamorigin.Origin{Service: "llm", Software: "v1"}
 	if got := r.soleOrigin(q, time.Now()); got != want && time.Since(began) < bound/2 {
