router: only a response with the endpoint's signature is passed on as a success

What callers see: status 200 for bytes that a faulty endpoint damaged, which are not its answer.

Cause: a response without a request id counted as the request's own, and nothing asked for the endpoint's signature before a 2xx was passed on.

--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -64,6 +64,11 @@
 	if !head.NotExecuted {
 		q.possibleRuns++
 	}
+	if head.Forged {
+		upResp.Close(false)
+		q.addStep(endpoint.ID, "forged")
+		return resultBroken, nil
+	}
 	resp := &response{status: upResp.Status, header: upResp.Header, from: p}
 	if q.route.Kind == catalog.KindStream && upResp.Status == http.StatusOK {
 		resp.stream = upResp
