router: a request without a grant names the adapter version that was announced

What callers see: beside a scheduler that stands still, requests go on beginning on an adapter version that was replaced more than 5 s ago.

The expected version came from the grant alone, so that the engine could not turn the request away.

Such a request expects the latest announced version that the router knows, at once. An engine that has another one answers 421, and the request goes elsewhere.

--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -105,7 +105,8 @@
 	rateLimit := r.endpointTracker.rateLimit(endpoint)
 	if !conn.state(now).fresh {
 		if choice.Resident && !rateLimit.Limit.Named && !q.binding.Bound { // Only a grant names the incarnation.
-			return &placement{endpoint: endpoint}, 0 // The engine refuses the request if the adapter is no longer loaded.
+			// The engine refuses the request if the adapter is no longer loaded, or in another version.
+			return &placement{endpoint: endpoint, announced: r.state.View().Versions[q.call.Adapter]}, 0
 		}
 		return nil, minRetryAfter
 	}
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -23,12 +23,16 @@
 	endpoint *catalog.Endpoint
 	grant    *grant // Nil for a plain service, and for an engine whose scheduler sends no snapshots.
 	software string // Software version of the incarnation that runs the request; "" if it is not certain.
+	// announced is the latest announced adapter version that the router knows, for a request without a grant; 0 if
+	// none is.
+	announced int64
 }
 
-// adapterVersion returns the adapter version that the scheduler granted; 0 if unknown.
+// adapterVersion returns the adapter version that the engine must have: the one that the scheduler granted, or without
+// a grant the announced one; 0 if neither is known.
 func (p *placement) adapterVersion() int64 {
 	if p.grant == nil {
-		return 0
+		return p.announced
 	}
 	return p.grant.reply.Version
 }
