router: a silent stream that has begun is given up only once another endpoint has taken it

What callers see: a sound stream is cut because its engine sends nothing for 2 s, also at a router that stops, and nobody goes on with it.

Cause: the connection to the engine was closed after that time if another endpoint of the software version was registered, and only then was another one asked for a grant. Where none granted it, the caller's connection was aborted.

The router asks for the grant (and for the retry budget and the prompt parts) while the first connection stays open, and again each time the limit passes; the stream goes on at whichever comes first. A stream that has not begun is given up as before. A background reader takes the place of read timeouts, which a body does not survive.

--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -39,6 +39,8 @@
 	attemptBegunAt time.Time
 	binding        streamorigin.Binding // Endpoints that the stream may go on at.
 	trial          []string             // Prompt parts that the request is on trial for.
+	strategy       strategy
+	next           *placement // Goes on with the stream of an endpoint that is given up; nil if none was taken.
 	trace          trace
 }
 
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -67,27 +67,18 @@
 // response.
 func (r *Router) run(q *request, s strategy) {
 	r.budgets.recordRequest(q.service.Name, time.Now())
+	q.strategy = s
 	var failure *response // Error response to forward if no other endpoint succeeds.
-	for range maxSends {
-		p, expectedWait := s.selectEndpoint(q)
+	for sends := 0; sends < maxSends || q.next != nil; sends++ {
+		p, refused := q.next, false
+		q.next = nil
 		if p == nil {
-			if q.ctx.Err() == nil && failure == nil && q.possibleRuns == 0 {
-				s.refuse(q, expectedWait)
-				return
-			}
-			break
+			p, refused = r.takePlacement(q, failure == nil)
 		}
-		if v := r.beginParts(q); !permits(v) {
-			p.release()
-			if q.possibleRuns == 0 {
-				r.refuseParts(q, v)
-				return
-			}
-			break
+		if refused {
+			return
 		}
-		if q.delivered > 0 && !r.budgets.takeRetry(q.service.Name, time.Now()) {
-			q.addStep(p.endpoint.ID, "no_budget")
-			p.release()
+		if p == nil {
 			break
 		}
 		res, resp := s.send(q, p)
@@ -95,7 +86,7 @@
 		if done := r.handleResult(q, res, resp, &failure); done {
 			return
 		}
-		if !q.mayRetry(res) {
+		if q.next == nil && !q.mayRetry(res) {
 			break
 		}
 	}
@@ -106,6 +97,33 @@
 	r.refuseUnanswered(q)
 }
 
+// takePlacement selects the next endpoint and takes what the request needs to be sent there. If there is none, and
+// the request has not run, takePlacement may refuse the request; refused is set then.
+func (r *Router) takePlacement(q *request, mayRefuse bool) (p *placement, refused bool) {
+	p, expectedWait := q.strategy.selectEndpoint(q)
+	if p == nil {
+		if q.ctx.Err() == nil && mayRefuse && q.possibleRuns == 0 {
+			q.strategy.refuse(q, expectedWait)
+			return nil, true
+		}
+		return nil, false
+	}
+	if v := r.beginParts(q); !permits(v) {
+		p.release()
+		if q.possibleRuns == 0 {
+			r.refuseParts(q, v)
+			return nil, true
+		}
+		return nil, false
+	}
+	if q.delivered > 0 && !r.budgets.takeRetry(q.service.Name, time.Now()) {
+		q.addStep(p.endpoint.ID, "no_budget")
+		p.release()
+		return nil, false
+	}
+	return p, false
+}
+
 // handleResult acts on the result of one attempt. It returns true if the request is finished.
 func (r *Router) handleResult(q *request, res result, resp *response, failure **response) bool {
 	switch res {
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -2,26 +2,27 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/hyssoptiller/hyssoptiller/internal/eventstream"
 	"github.com/hyssoptiller/hyssoptiller/platform"
 )
 
 // forwardStream forwards the events of a stream as they arrive. The response header is sent
 // with the first event. A stream that breaks off before its first event can therefore be
-// retried without the caller noticing. silenceLimit bounds the wait for each event; 0 sets no
-// limit. It does not apply to a stream that has begun and that no other endpoint can go on with.
+// retried without the caller noticing. silenceLimit is how long an event may take; 0 sets no limit. After
+// that time a stream that has not begun is given up, and one that has begun once another endpoint has taken it.
 func (r *Router) forwardStream(q *request, resp *response, silenceLimit time.Duration) result {
 	complete := false
 	defer func() { resp.stream.Close(complete) }()
-	events := eventstream.NewReader(resp.stream.Body)
+	source := newEventSource(resp.stream.Body)
+	defer source.stop()
 	for {
-		if silenceLimit > 0 {
-			resp.stream.SetReadTimeout(silenceLimit)
-		}
-		e, err := events.Next()
+		e, err := r.nextEvent(q, source, silenceLimit)
 		if err == io.EOF && q.attemptBegunAt.IsZero() && !resp.stream.SelfDelimited() {
 			return resultBroken // Without an event, the end of the connection is no evidence of a complete stream.
 		}
@@ -40,16 +41,91 @@
 			q.addStep(resp.from.endpoint.ID, "software_changed")
 			return resultBroken
 		}
-		if silenceLimit > 0 && q.attemptBegunAt.IsZero() && !r.canGoOnElsewhere(q) {
-			silenceLimit = 0 // The stream may be slow but sound.
-			resp.stream.ClearReadTimeout()
-		}
 		if !r.forwardEvent(q, resp, e) {
 			return resultCancelled
 		}
 	}
 }
 
+// errSilent reports a stream that is given up because its endpoint sends nothing.
+const errSilent = errors.ConstError("endpoint sends nothing")
+
+// nextEvent returns the next event of a stream, or errSilent once the stream is to be given up.
+func (r *Router) nextEvent(q *request, source *eventSource, silenceLimit time.Duration) (eventstream.Event, error) {
+	source.request()
+	for {
+		var silent <-chan time.Time
+		if silenceLimit > 0 {
+			timer := time.NewTimer(silenceLimit)
+			defer timer.Stop()
+			silent = timer.C
+		}
+		select {
+		case next := <-source.results:
+			return next.event, next.err
+		case <-silent:
+		}
+		if q.attemptBegunAt.IsZero() {
+			return eventstream.Event{}, errSilent
+		}
+		if !r.takeNextPlacement(q) {
+			continue // The endpoint may be slow but sound.
+		}
+		select {
+		case next := <-source.results:
+			q.next.release()
+			q.next = nil
+			return next.event, next.err
+		default:
+			return eventstream.Event{}, errSilent
+		}
+	}
+}
+
+// takeNextPlacement looks for another endpoint that goes on with a stream. It returns false, and leaves the request as it
+// was, if there is none.
+func (r *Router) takeNextPlacement(q *request) bool {
+	if !q.mayRetry(resultBroken) {
+		return false
+	}
+	tried := maps.Clone(q.tried)
+	if q.next, _ = r.takePlacement(q, false); q.next == nil {
+		q.tried = tried
+	}
+	return q.next != nil
+}
+
+// eventSource reads the events of a stream in the background, one for each request.
+type eventSource struct {
+	requests chan struct{}
+	results  chan eventResult
+}
+
+// eventResult is an event or the error in its place.
+type eventResult struct {
+	event eventstream.Event
+	err   error
+}
+
+// newEventSource returns a source of the events of body. It reads until body ends or fails, or until stop.
+func newEventSource(body io.Reader) *eventSource {
+	s := &eventSource{requests: make(chan struct{}, 1), results: make(chan eventResult, 1)}
+	go func() {
+		events := eventstream.NewReader(body)
+		for range s.requests {
+			e, err := events.Next()
+			s.results <- eventResult{e, err}
+		}
+	}()
+	return s
+}
+
+// request asks for the next event. The former one is no longer valid.
+func (s *eventSource) request() { s.requests <- struct{}{} }
+
+// stop ends the source once its current read has ended.
+func (s *eventSource) stop() { close(s.requests) }
+
 // forwardEvent writes one event to the caller. It returns false if the caller has
 // disconnected.
 func (r *Router) forwardEvent(q *request, resp *response, e eventstream.Event) bool {
--- a/internal/router/streamorigins.go
+++ b/internal/router/streamorigins.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -119,13 +118,6 @@
 	return out
 }
 
-// canGoOnElsewhere reports whether an endpoint that was not tried is left to go on with the request's stream.
-func (r *Router) canGoOnElsewhere(q *request) bool {
-	left := slices.DeleteFunc(slices.Clone(q.permitted(r.state.View().Endpoints[q.service.Name])),
-		func(e *catalog.Endpoint) bool { return q.tried[e.ID] })
-	return r.endpointTracker.anyStays(left)
-}
-
 // streamKey returns the key of the record of an attempt of the request's organisation.
 func (q *request) streamKey(attempt string) streamorigin.Key {
 	key := streamorigin.Key{RequestID: attempt}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -210,18 +210,6 @@
 	return n, err
 }
 
-// SetReadTimeout makes reads of the body fail once d has passed. Calling it before each
-// read bounds the time between bytes.
-func (r *Response) SetReadTimeout(d time.Duration) {
-	// If it fails, the next read fails too.
-	_ = r.exchange.conn.SetReadDeadline(time.Now().Add(d))
-}
-
-// ClearReadTimeout removes the limit that SetReadTimeout set.
-func (r *Response) ClearReadTimeout() {
-	_ = r.exchange.conn.SetReadDeadline(time.Time{}) // If it fails, the next read fails too.
-}
-
 // SelfDelimited reports whether the response has a length or is chunked. Otherwise its end is that of the
 // connection, which also ends if the endpoint crashes.
 func (r *Response) SelfDelimited() bool { return selfDelimited(r.exchange.resp) }
