router: the origin of a stream is recorded by schedulers and by routers

What callers see: after a restart of the schedulers in turn, or a loss of all of them, streams that are taken up again are refused while two software versions serve.

Cause: only schedulers held the records, in memory. A router that began the stream, or any other one, was not asked.

Two routers by hash of the request's id, and the one that serves the stream, hold the record beside the three schedulers; a take-up asks four routers beside six schedulers, after its own records. A stream costs two calls more. Where there are no schedulers, routers hold all copies as before.

TestTakenUpStreamGoesOnAtItsSoftwareVersion/after_a_restart_of_the_schedulers_in_turn and after_a_loss_of_all_schedulers failed before, TestRecordSurvivesLossOfOneGroup shows the property.

--- a/internal/policy/streamorigin/holders.go
+++ b/internal/policy/streamorigin/holders.go
@@ -16,6 +16,14 @@
 	LookupHolders = 2 * RecordCopies
 )
 
+// Records are kept by two groups of processes, so that neither a restart of all schedulers nor one of all routers loses
+// them. routerCopies and routerLookups are the numbers of routers beside RecordCopies and LookupHolders
+// schedulers.
+const (
+	routerCopies  = 2
+	routerLookups = 2 * routerCopies
+)
+
 // Holder is a process that can hold records.
 type Holder struct {
 	Address       string
@@ -23,6 +31,29 @@
 	Leaving       bool // It ends soon: it gets no new records, but may hold former ones.
 }
 
+// Holders are the processes that can hold records.
+type Holders struct {
+	Schedulers []Holder
+	Routers    []Holder
+}
+
+// ForRecord returns the holders that store the record of an attempt. Without schedulers the routers store all
+// copies.
+func (h Holders) ForRecord(requestID string) []Holder {
+	if len(h.Schedulers) == 0 {
+		return HoldersForRecord(requestID, h.Routers)
+	}
+	return append(HoldersForRecord(requestID, h.Schedulers), first(HoldersForRecord(requestID, h.Routers), routerCopies)...)
+}
+
+// ForLookup returns the holders that are asked for the record of an attempt.
+func (h Holders) ForLookup(requestID string) []Holder {
+	if len(h.Schedulers) == 0 {
+		return HoldersForLookup(requestID, h.Routers)
+	}
+	return append(HoldersForLookup(requestID, h.Schedulers), first(HoldersForLookup(requestID, h.Routers), routerLookups)...)
+}
+
 // HoldersForRecord returns the holders that store the record of an attempt, in different failure domains if
 // there are as many.
 func HoldersForRecord(requestID string, all []Holder) []Holder {
--- a/internal/policy/streamorigin/streamorigin_test.go
+++ b/internal/policy/streamorigin/streamorigin_test.go
@@ -231,3 +231,35 @@
 		}
 	}
 }
+
+// A record survives the loss of all schedulers, of all routers, and of one more process of the other group: the holders
+// that are asked include one that has it.
+func TestRecordSurvivesLossOfOneGroup(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		group := func(name string, least int) []Holder {
+			var out []Holder
+			for i := range rapid.IntRange(least, 40).Draw(t, name) {
+				out = append(out, Holder{Address: fmt.Sprint(name, "-", i), FailureDomain: fmt.Sprint(i % 4)})
+			}
+			return out
+		}
+		all := Holders{Schedulers: group("schedulers", 0), Routers: group("routers", 2)}
+		id := rapid.StringN(1, 16, 16).Draw(t, "id")
+		stored, asked := all.ForRecord(id), all.ForLookup(id)
+		if len(stored) > RecordCopies+routerCopies || len(asked) > LookupHolders+routerLookups {
+			t.Fatalf("%d holders of a record, %d asked; want a bounded number", len(stored), len(asked))
+		}
+		survives := func(lost func(Holder) bool) bool {
+			return slices.ContainsFunc(stored, func(h Holder) bool { return !lost(h) && slices.Contains(asked, h) })
+		}
+		isRouter := func(h Holder) bool { return slices.Contains(all.Routers, h) }
+		for _, one := range stored {
+			if len(all.Schedulers) > 1 && !survives(func(h Holder) bool { return isRouter(h) || h == one }) {
+				t.Fatalf("no record is left after a loss of all routers and %v", one)
+			}
+			if !survives(func(h Holder) bool { return !isRouter(h) || h == one }) {
+				t.Fatalf("no record is left after a loss of all schedulers and %v", one)
+			}
+		}
+	})
+}
--- a/internal/router/streamorigins.go
+++ b/internal/router/streamorigins.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -33,7 +35,7 @@
 )
 
 // streamOrigins stores and looks up where streams began. The records are held by schedulers,
-// which outlive a loss of all routers, and by routers where there are no schedulers.
+// which outlive a loss of all routers, and by routers, which outlive one of all schedulers.
 type streamOrigins struct {
 	client        *streamrecords.Client
 	server        *streamrecords.Server
@@ -62,7 +64,7 @@
 }
 
 // holders returns all processes that can hold records.
-func (o *streamOrigins) holders(v *catalog.View) []streamorigin.Holder {
+func (o *streamOrigins) holders(v *catalog.View) streamorigin.Holders {
 	byAddress := make(map[string]streamorigin.Holder)
 	for name, endpoints := range v.Endpoints {
 		if service := v.Config.Services[name]; service == nil || service.Engine == nil {
@@ -81,18 +83,20 @@
 			byAddress[address] = h
 		}
 	}
-	if len(byAddress) == 0 {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		for _, h := range o.routers {
-			byAddress[h.Address] = h
-		}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return streamorigin.Holders{
+		Schedulers: slices.Collect(maps.Values(byAddress)), Routers: slices.Collect(maps.Values(o.routers)),
 	}
-	out := make([]streamorigin.Holder, 0, len(byAddress))
-	for _, h := range byAddress {
-		out = append(out, h)
+}
+
+// lookup returns what this router and the holders know of a stream.
+func (o *streamOrigins) lookup(ctx context.Context, key streamorigin.Key, v *catalog.View) streamorigin.Lookup {
+	own := streamorigin.Lookup{}
+	if own.Add(o.server.Lookup(key)); own.Conflict || own.Found() {
+		return own
 	}
-	return out
+	return o.client.Lookup(ctx, key, o.holders(v).ForLookup(key.RequestID))
 }
 
 // softwareOf returns the software version of an endpoint's incarnation, or "" if the registration is that of
@@ -161,7 +165,7 @@
 	}
 	var found streamorigin.Lookup
 	if id := q.call.ResumedRequestID; id != "" && len(id) <= maxAttemptIDBytes {
-		found = r.streamOrigins.client.Lookup(q.ctx, q.streamKey(id), streamorigin.HoldersForLookup(id, r.streamOrigins.holders(v)))
+		found = r.streamOrigins.lookup(q.ctx, q.streamKey(id), v)
 	}
 	sole := streamorigin.Origin{}
 	if !found.Found() && !found.Conflict {
@@ -244,9 +248,11 @@
 		deadline = q.arrived.Add(q.call.Deadline)
 	}
 	origin := streamorigin.Origin{Service: q.trace.service, Software: software}
-	holders := streamorigin.HoldersForRecord(id, r.streamOrigins.holders(r.state.View()))
+	ttl := time.Until(deadline) + recordMargin
+	r.streamOrigins.server.Record(q.streamKey(id), origin, ttl)
+	holders := r.streamOrigins.holders(r.state.View()).ForRecord(id)
 	q.trace.recordCopies = r.streamOrigins.client.Store(
-		q.ctx, q.streamKey(id), origin, time.Until(deadline)+recordMargin, holders)
+		q.ctx, q.streamKey(id), origin, ttl, holders)
 	if q.trace.recordCopies == 0 {
 		r.counters.streamsUnrecorded.Inc(1)
 	}
--- a/internal/streamrecords/server.go
+++ b/internal/streamrecords/server.go
@@ -69,6 +69,27 @@
 	r.Post(pathLookup, s.serveLookup)
 }
 
+// Record records the origin of a stream that this process serves.
+func (s *Server) Record(key streamorigin.Key, origin streamorigin.Origin, ttl time.Duration) {
+	now := time.Now()
+	s.mu.Lock()
+	consistent := s.table.Put(key, origin, now.Add(min(ttl, maxTTL)), now)
+	s.mu.Unlock()
+	if !consistent {
+		s.log.WithFields(logrus.Fields{
+			"event": "stream_record_conflict", "request": key.RequestID, "organisation": key.Organisation,
+			"service": origin.Service, "software": origin.Software,
+		}).Warn("two origins were recorded for one request id; the stream cannot be taken up again")
+	}
+}
+
+// Lookup returns the origin that this process has recorded.
+func (s *Server) Lookup(key streamorigin.Key) (streamorigin.Origin, streamorigin.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Get(key, time.Now())
+}
+
 func (s *Server) serveStore(w http.ResponseWriter, req *http.Request) {
 	var call storeRequest
 	if !schedulerapi.DecodeRequest(w, req, maxCallBytes, &call) {
@@ -78,18 +99,11 @@
 		http.Error(w, "request, service, software and ttlMs are required", http.StatusBadRequest)
 		return
 	}
-	now := time.Now()
-	ttl := time.Duration(min(call.TTLMS, maxTTL.Milliseconds())) * time.Millisecond
-	s.mu.Lock()
-	key, origin := streamorigin.Key{Organisation: call.Organisation, RequestID: call.RequestID}, streamorigin.Origin{Service: call.Service, Software: call.Software}
-	consistent := s.table.Put(key, origin, now.Add(ttl), now)
-	s.mu.Unlock()
-	if !consistent {
-		s.log.WithFields(logrus.Fields{
-			"event": "stream_record_conflict", "request": call.RequestID, "organisation": call.Organisation,
-			"service": call.Service, "software": call.Software,
-		}).Warn("two origins were recorded for one request id; the stream cannot be taken up again")
-	}
+	s.Record(
+		streamorigin.Key{Organisation: call.Organisation, RequestID: call.RequestID},
+		streamorigin.Origin{Service: call.Service, Software: call.Software},
+		time.Duration(min(call.TTLMS, maxTTL.Milliseconds()))*time.Millisecond,
+	)
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -98,9 +112,7 @@
 	if !schedulerapi.DecodeRequest(w, req, maxCallBytes, &call) {
 		return
 	}
-	s.mu.Lock()
-	origin, result := s.table.Get(streamorigin.Key{Organisation: call.Organisation, RequestID: call.RequestID}, time.Now())
-	s.mu.Unlock()
+	origin, result := s.Lookup(streamorigin.Key{Organisation: call.Organisation, RequestID: call.RequestID})
 	w.Header().Set("Content-Type", "application/json")
 	reply := lookupReply{Service: origin.Service, Software: origin.Software, Conflict: result == streamorigin.ResultConflict}
 	if err := json.NewEncoder(w).Encode(reply); err != nil {
