quarantine: finished requests displace no quarantined request

What callers see: a request that crashes engines runs again after 51 s at 85 requests a second a router, although it is held back for two minutes.

Cause: once a tracker has a record, each request that finishes gets one, 4,096 at most, and the least recently updated one was displaced, whatever it said.

Records with crashes and those without are kept in two lists; the latter are displaced first. TestFinishedRequestsDisplaceNoQuarantinedRequest failed before.

--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -106,11 +106,13 @@
 
 // CrashTracker holds the records of suspected, quarantined and cleared requests.
 // Its size is bounded: if it is full, a new record replaces the least recently
-// updated one. It is not safe for concurrent use.
+// updated one without crashes, or else the least recently updated one. It is not safe for concurrent use.
 type CrashTracker struct {
 	limits  Limits
 	records map[Fingerprint]*list.Element
-	byAge   *list.List // Elements are *record; most recently updated first.
+	// Elements are *record; most recently updated first.
+	suspects *list.List // Records with crashes or a quarantine.
+	cleared  *list.List // All others.
 }
 
 // record is the crash history of one fingerprint. A record on trial does not
@@ -126,7 +128,9 @@
 
 // NewCrashTracker returns an empty CrashTracker.
 func NewCrashTracker(limits Limits) *CrashTracker {
-	return &CrashTracker{limits: limits, records: make(map[Fingerprint]*list.Element), byAge: list.New()}
+	return &CrashTracker{
+		limits: limits, records: make(map[Fingerprint]*list.Element), suspects: list.New(), cleared: list.New(),
+	}
 }
 
 // BeginRun decides whether and how a request may run now. After VerdictRun or
@@ -190,8 +194,69 @@
 // already has a record, it changes nothing.
 func (t *CrashTracker) RecordRemoteCrash(id Fingerprint, now time.Time) {
 	if t.lookup(id, now) == nil {
-		t.add(id, now).crashes = 1
+		r := t.add(id, now)
+		r.crashes = 1
+		t.refresh(r, r.expires)
+	}
+}
+
+// HeldRequest is the state of a request with crashes, for other processes. Its times are relative, since clocks differ.
+type HeldRequest struct {
+	ID         Fingerprint
+	Crashes    int           // Crashes that count.
+	Quarantine time.Duration // Time for which it is refused; 0 if it is not in quarantine.
+	Lifetime   time.Duration // Time for which the record is kept.
+}
+
+// Held returns the state of all requests with crashes, the least recently updated first.
+func (t *CrashTracker) Held(now time.Time) []HeldRequest {
+	var out []HeldRequest
+	for e := t.suspects.Back(); e != nil; e = e.Prev() {
+		if r := e.Value.(*record); now.Before(r.expires) {
+			out = append(out, r.held(now))
+		}
+	}
+	return out
+}
+
+// HeldRequest returns the state of a request. It returns false if it has no crashes.
+func (t *CrashTracker) HeldRequest(id Fingerprint, now time.Time) (HeldRequest, bool) {
+	r := t.lookup(id, now)
+	if r == nil || t.listOf(r) != t.suspects {
+		return HeldRequest{}, false
+	}
+	return r.held(now), true
+}
+
+func (r *record) held(now time.Time) HeldRequest {
+	return HeldRequest{ID: r.id, Crashes: r.crashes, Quarantine: max(r.quarantinedUntil.Sub(now), 0), Lifetime: r.expires.Sub(now)}
+}
+
+// Apply adopts the state of a request at another process where it is stricter than the known one: a crash that both
+// counted counts once. It reports whether it changed anything. Times beyond the limits are cut.
+func (t *CrashTracker) Apply(h HeldRequest, now time.Time) bool {
+	if h.ID == "" || h.Lifetime <= 0 || h.Crashes <= 0 && h.Quarantine <= 0 {
+		return false
+	}
+	r := t.lookup(h.ID, now)
+	if r == nil {
+		r = t.add(h.ID, now)
 	}
+	crashes := max(r.crashes, min(h.Crashes, t.limits.CrashesToQuarantine-1))
+	until := r.quarantinedUntil
+	if h.Quarantine > 0 {
+		if other := now.Add(min(h.Quarantine, t.limits.QuarantineDuration)); other.After(until) {
+			until = other
+		}
+	}
+	expires := now.Add(min(h.Lifetime, t.limits.QuarantineDuration+t.limits.RecordLifetime))
+	if expires.Before(r.expires) {
+		expires = r.expires
+	}
+	changed := crashes != r.crashes || !until.Equal(r.quarantinedUntil)
+	r.crashes, r.quarantinedUntil = crashes, until
+	t.refresh(r, expires)
+	return changed
 }
 
 // Len returns the number of requests with a record.
@@ -222,9 +287,20 @@
 	return r.quarantinedUntil, true
 }
 
+// refresh extends the life of a record and moves it to the front of the list that it belongs to.
 func (t *CrashTracker) refresh(r *record, expires time.Time) {
 	r.expires = expires
-	t.byAge.MoveToFront(t.records[r.id])
+	t.suspects.Remove(t.records[r.id]) // It is in one of the two lists.
+	t.cleared.Remove(t.records[r.id])
+	t.records[r.id] = t.listOf(r).PushFront(r)
+}
+
+// listOf returns the list that a record belongs to.
+func (t *CrashTracker) listOf(r *record) *list.List {
+	if r.crashes > 0 || !r.quarantinedUntil.IsZero() {
+		return t.suspects
+	}
+	return t.cleared
 }
 
 // lookup returns the record that is valid at now, or nil. It removes an expired
@@ -242,14 +318,17 @@
 	return r
 }
 
-// add creates a record and removes the least recently updated one if the tracker
-// is full.
+// add creates a record without crashes. If the tracker is full, it removes another one.
 func (t *CrashTracker) add(id Fingerprint, now time.Time) *record {
 	if len(t.records) >= t.limits.MaxTracked {
-		t.remove(t.byAge.Back().Value.(*record).id)
+		displaced := t.cleared
+		if displaced.Len() == 0 {
+			displaced = t.suspects
+		}
+		t.remove(displaced.Back().Value.(*record).id)
 	}
 	r := &record{id: id, expires: now.Add(t.limits.RecordLifetime)}
-	t.records[id] = t.byAge.PushFront(r)
+	t.records[id] = t.cleared.PushFront(r)
 	return r
 }
 
@@ -258,6 +337,7 @@
 	if !ok {
 		return
 	}
-	t.byAge.Remove(e)
+	t.suspects.Remove(e) // It is in one of the two lists.
+	t.cleared.Remove(e)
 	delete(t.records, id)
 }
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -146,3 +146,55 @@
 		t.Error("after the quarantine: IsQuarantined() = true, or the next BeginRun() is not VerdictIsolate")
 	}
 }
+
+// Pattern: after one crash, each request that finishes gets a record. A flood of them must displace no request in
+// quarantine.
+func TestFinishedRequestsDisplaceNoQuarantinedRequest(t *testing.T) {
+	limits := DefaultLimits()
+	limits.MaxTracked = 10
+	tracker, now := NewCrashTracker(limits), time.Unix(1000, 0)
+	for range limits.CrashesToQuarantine {
+		tracker.EndRun("bad", VerdictRun, OutcomeCrashed, now)
+	}
+	for i := range 100 {
+		tracker.EndRun(Fingerprint(fmt.Sprint("good-", i)), VerdictRun, OutcomeFinished, now)
+	}
+	if !tracker.IsQuarantined("bad", now) || tracker.Len() != limits.MaxTracked {
+		t.Errorf("in quarantine %t with %d records, want true with %d", tracker.IsQuarantined("bad", now), tracker.Len(), limits.MaxTracked)
+	}
+	for i := range 100 {
+		tracker.EndRun(Fingerprint(fmt.Sprint("suspect-", i)), VerdictRun, OutcomeCrashed, now)
+	}
+	if tracker.Len() != limits.MaxTracked {
+		t.Errorf("records = %d, want %d", tracker.Len(), limits.MaxTracked)
+	}
+}
+
+// The state of a request that several processes exchange, in any order and repeatedly, is never milder than at one of
+// them, and stays within the limits.
+func TestAppliedStateIsAsStrictAsBoth(t *testing.T) {
+	limits := DefaultLimits()
+	limits.CrashesToQuarantine = 3
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		trackers := []*CrashTracker{NewCrashTracker(limits), NewCrashTracker(limits)}
+		for range rapid.IntRange(0, 12).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "seconds")) * time.Second)
+			tracker := rapid.SampledFrom(trackers).Draw(t, "tracker")
+			outcome := rapid.SampledFrom([]Outcome{OutcomeCrashed, OutcomeCrashed, OutcomeFinished}).Draw(t, "outcome")
+			tracker.EndRun("r", VerdictRun, outcome, now)
+		}
+		from, _ := trackers[0].HeldRequest("r", now)
+		before, _ := trackers[1].HeldRequest("r", now)
+		for range rapid.IntRange(1, 3).Draw(t, "times") {
+			trackers[1].Apply(from, now)
+		}
+		got, _ := trackers[1].HeldRequest("r", now)
+		if got.Crashes < max(from.Crashes, before.Crashes) || got.Quarantine < max(from.Quarantine, before.Quarantine) {
+			t.Fatalf("state %+v after %+v was applied to %+v, want one as strict as both", got, from, before)
+		}
+		if got.Crashes > limits.CrashesToQuarantine || got.Quarantine > limits.QuarantineDuration {
+			t.Fatalf("state %+v beyond the limits", got)
+		}
+	})
+}
