router: an endpoint that comes back under its id and crashes again is counted again

What callers see: a request that crashes engines is sent to them again and again if they come back under the ids that they had.

Cause: a crash counted once for each request and endpoint id in two minutes.

It counts once for each incarnation now. A crash that another router noticed with the registration of the former incarnation is the same one if it comes within a second. TestCrashesOfEndpointThatComesBackCountAgain: never quarantined before.

--- a/internal/router/crashtracker.go
+++ b/internal/router/crashtracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -40,12 +41,34 @@
 	crashProbeDelay = 40 * time.Millisecond
 	// crashProbeTimeout bounds the connection attempt that checks for a crash.
 	crashProbeTimeout = 300 * time.Millisecond
+	// minRestartTime is the shortest time between two crashes of one endpoint.
+	minRestartTime = time.Second
 )
 
 // crash reports that an endpoint crashed while it ran a request.
 type crash struct {
 	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
 	Endpoint    catalog.EndpointID     `json:"endpoint"`
+	// Incarnation is that of the endpoint by its registration; 0 if unknown, also in reports of former builds.
+	Incarnation int64 `json:"incarnation,omitempty"`
+}
+
+// crashKey is what a crash is counted for.
+type crashKey struct {
+	fingerprint quarantine.Fingerprint
+	endpoint    catalog.EndpointID
+}
+
+// countedCrash is the last crash that was counted for a crashKey.
+type countedCrash struct {
+	incarnation int64
+	at          time.Time
+}
+
+// repeats reports whether a crash is the counted one, noticed by another request or router. A registration that is read late
+// names the former incarnation, so that another one alone does not prove another crash.
+func (c countedCrash) repeats(incarnation int64, now time.Time) bool {
+	return incarnation == c.incarnation || incarnation == 0 || now.Sub(c.at) < minRestartTime
 }
 
 // crashReports is the body of a call that reports crashes.
@@ -69,17 +92,18 @@
 	peers *quota.Peers
 	log   *logrus.Entry
 
-	mu        sync.Mutex
-	tracker   *quarantine.CrashTracker
-	countedAt map[crash]time.Time // When each crash was counted.
-	outgoing  []crashReport       // Reports that were not sent to the other routers yet.
+	mu       sync.Mutex
+	tracker  *quarantine.CrashTracker
+	counted  map[crashKey]countedCrash
+	outgoing []crashReport // Reports that were not sent to the other routers yet.
+	fetches  int           // Routers asked for their records.
 }
 
 func newCrashTracker(peers *quota.Peers, log *logrus.Entry) *crashTracker {
 	limits := quarantine.DefaultLimits()
 	limits.CrashesToQuarantine, limits.QuarantineDuration, limits.RecordLifetime =
 		quarantineCrashes, quarantineDuration, quarantineDuration
-	return &crashTracker{peers: peers, log: log, tracker: quarantine.NewCrashTracker(limits), countedAt: make(map[crash]time.Time)}
+	return &crashTracker{peers: peers, log: log, tracker: quarantine.NewCrashTracker(limits), counted: make(map[crashKey]countedCrash)}
 }
 
 // fingerprint returns the fingerprint of a request.
@@ -115,7 +139,7 @@
 		ctx := context.Background()
 		_ = sleep.For(ctx, crashProbeDelay) // This context does not end.
 		if result := probe(endpoint.Address); result != probeAccepted {
-			report := crashReport{crash: crash{Fingerprint: fingerprint, Endpoint: endpoint.ID}}
+			report := crashReport{crash: crash{Fingerprint: fingerprint, Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation}}
 			if result == probeRefused && len(parts.Parts) > 0 {
 				report.Parts = &parts
 			}
@@ -199,23 +223,21 @@
 	}
 }
 
-// recordCrash counts a crash unless it was counted within quarantineDuration.
+// recordCrash counts a crash unless it was counted within quarantineDuration. An endpoint that comes back under its
+// id may crash again.
 func (t *crashTracker) recordCrash(c crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	for old, at := range t.countedAt {
-		if now.Sub(at) > quarantineDuration {
-			delete(t.countedAt, old)
-		}
-	}
-	if _, counted := t.countedAt[c]; counted {
+	maps.DeleteFunc(t.counted, func(_ crashKey, c countedCrash) bool { return now.Sub(c.at) > quarantineDuration })
+	key := crashKey{c.Fingerprint, c.Endpoint}
+	if last, known := t.counted[key]; known && last.repeats(c.Incarnation, now) {
 		return
 	}
-	t.countedAt[c] = now
+	t.counted[key] = countedCrash{c.Incarnation, now}
 	_, quarantined := t.tracker.EndRun(c.Fingerprint, quarantine.VerdictRun, quarantine.OutcomeCrashed, now)
 	t.log.WithFields(logrus.Fields{
-		"event": "crash", "fingerprint": c.Fingerprint, "endpoint": c.Endpoint, "quarantined": quarantined,
+		"event": "crash", "fingerprint": c.Fingerprint, "endpoint": c.Endpoint, "born": c.Incarnation, "quarantined": quarantined,
 	}).Warn("endpoint crashed while it ran this request")
 }
 
--- a/internal/router/crashtracker_test.go
+++ b/internal/router/crashtracker_test.go
@@ -39,7 +39,7 @@
 		if isQuarantined(tracker, bad) {
 			t.Errorf("request quarantined after %d crashes, want 3", i)
 		}
-		tracker.recordCrash(crash{bad, id})
+		tracker.recordCrash(crash{Fingerprint: bad, Endpoint: id})
 	}
 	if !isQuarantined(tracker, bad) {
 		t.Error("request not quarantined after 3 crashes")
@@ -60,14 +60,14 @@
 	tracker := newTestCrashTracker()
 	usual := fingerprint("smithy", http.MethodGet, "/hours/x", nil)
 	for range 5 {
-		tracker.recordCrash(crash{usual, "e1"})
+		tracker.recordCrash(crash{Fingerprint: usual, Endpoint: "e1"})
 	}
 	if isQuarantined(tracker, usual) {
 		t.Error("request quarantined after the crash of one endpoint, counted 5 times")
 	}
-	tracker.recordCrash(crash{usual, "e2"})
+	tracker.recordCrash(crash{Fingerprint: usual, Endpoint: "e2"})
 	tracker.recordSuccess(func() quarantine.Fingerprint { return usual })
-	tracker.recordCrash(crash{usual, "e3"})
+	tracker.recordCrash(crash{Fingerprint: usual, Endpoint: "e3"})
 	if isQuarantined(tracker, usual) {
 		t.Error("request quarantined although it finished between the crashes")
 	}
@@ -132,7 +132,7 @@
 		tracker := newCrashTracker(peers, entry)
 		for i := range crashes {
 			request := fingerprint("smithy", http.MethodPost, "/chat/x", []byte(fmt.Sprint(i)))
-			tracker.broadcast(crashReport{crash: crash{request, catalog.EndpointID(fmt.Sprint("e", i))}})
+			tracker.broadcast(crashReport{crash: crash{Fingerprint: request, Endpoint: catalog.EndpointID(fmt.Sprint("e", i))}})
 			time.Sleep(2 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
@@ -165,3 +165,24 @@
 		t.Errorf("all routers took %d retries, want 1 to %.0f", taken, limit)
 	}
 }
+
+// An endpoint that comes back under its id and crashes again counts again, but a crash that two routers saw, one of them with the
+// registration of the former incarnation, counts once.
+func TestCrashesOfEndpointThatComesBackCountAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTestCrashTracker()
+		bad := fingerprint("smithy", http.MethodPost, "/chat/x", []byte("bad"))
+		for born := int64(1); born <= 3; born++ {
+			if isQuarantined(tracker, bad) {
+				t.Errorf("request quarantined after %d crashes, want 3", born-1)
+			}
+			for _, seen := range []int64{born, born, born - 1, 0} {
+				tracker.recordCrash(crash{bad, "e1", seen})
+			}
+			time.Sleep(3 * time.Second)
+		}
+		if !isQuarantined(tracker, bad) {
+			t.Error("request not quarantined after 3 crashes of one endpoint")
+		}
+	})
+}
