router: a router that starts adopts the crashes of requests from the others

What callers see: after the routers were stopped and started in turn, a request that was held back crashes engines again, at each router.

Cause: a router that starts read the prompt parts that the others hold back, but not the requests.

TestRouterThatStartsAdoptsCrashRecords.

--- a/internal/router/crashtracker.go
+++ b/internal/router/crashtracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"net"
 	"net/http"
@@ -23,7 +24,10 @@
 )
 
 const (
-	pathCrashes = "/crash-reports"
+	pathCrashes      = "/crash-reports"
+	pathCrashRecords = "/crash-records" // Asks for the requests with crashes.
+	// maxCrashRecords bounds the records in one response.
+	maxCrashRecords = 1024
 	// reportDelay is how long crash reports are collected before they are sent to the other routers. When
 	// many engines crash at once, each router has a report for each request that it sent there.
 	reportDelay = 80 * time.Millisecond
@@ -241,8 +245,80 @@
 	}).Warn("endpoint crashed while it ran this request")
 }
 
-// mount adds the handler for crash reports of other routers to r.
+// crashRecords is the state of requests with crashes at a router.
+type crashRecords struct {
+	Records []crashRecord `json:"records"`
+}
+
+type crashRecord struct {
+	Fingerprint  quarantine.Fingerprint `json:"fingerprint"`
+	Crashes      int                    `json:"crashes"`
+	QuarantineMS int64                  `json:"quarantineMs"`
+	LifetimeMS   int64                  `json:"lifetimeMs"`
+}
+
+func encodeCrashRecord(h quarantine.HeldRequest) crashRecord {
+	return crashRecord{
+		Fingerprint: h.ID, Crashes: h.Crashes, QuarantineMS: h.Quarantine.Milliseconds(), LifetimeMS: h.Lifetime.Milliseconds(),
+	}
+}
+
+// records returns the requests with crashes, the latest of them if there are many.
+func (t *crashTracker) records() crashRecords {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := t.tracker.Held(time.Now())
+	held = held[max(len(held)-maxCrashRecords, 0):]
+	out := crashRecords{Records: make([]crashRecord, len(held))}
+	for i, h := range held {
+		out.Records[i] = encodeCrashRecord(h)
+	}
+	return out
+}
+
+// apply adopts the records of another process.
+func (t *crashTracker) apply(in crashRecords, from string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range in.Records {
+		held := quarantine.HeldRequest{
+			ID: r.Fingerprint, Crashes: r.Crashes, Quarantine: time.Duration(r.QuarantineMS) * time.Millisecond,
+			Lifetime: time.Duration(r.LifetimeMS) * time.Millisecond,
+		}
+		if t.tracker.Apply(held, time.Now()) {
+			t.log.WithFields(logrus.Fields{
+				"event": "crash_record", "fingerprint": r.Fingerprint, "crashes": r.Crashes, "ms": r.QuarantineMS, "from": from,
+			}).Info("crashes of a request adopted")
+		}
+	}
+}
+
+// fetch adopts the records of another router, unless maxFetches routers were asked before. A router that has started
+// knows none.
+func (t *crashTracker) fetch(from quota.Peer) {
+	t.mu.Lock()
+	t.fetches++
+	enough := t.fetches > maxFetches
+	t.mu.Unlock()
+	if enough {
+		return
+	}
+	var reply crashRecords
+	if err := t.peers.Call(context.Background(), from, pathCrashRecords, struct{}{}, &reply); err != nil {
+		t.log.WithError(err).WithField("peer", from.VM).Info("crashes of requests not read from router")
+		return
+	}
+	t.apply(reply, from.VM)
+}
+
+// mount adds the handlers for the calls of other routers to r.
 func (t *crashTracker) mount(r chi.Router) {
+	r.Post(pathCrashRecords, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(t.records()); err != nil {
+			t.log.WithError(err).Info("crashes of requests not sent")
+		}
+	})
 	r.Post(pathCrashes, func(w http.ResponseWriter, req *http.Request) {
 		var in crashReports
 		if !schedulerapi.DecodeRequest(w, req, maxReportsBytes, &in) {
--- a/internal/router/crashtracker_test.go
+++ b/internal/router/crashtracker_test.go
@@ -186,3 +186,35 @@
 		}
 	})
 }
+
+// A router that starts adopts the crashes of requests from the others, so that a restart of all routers in turn releases no
+// quarantined request. A crash that both counted counts once.
+func TestRouterThatStartsAdoptsCrashRecords(t *testing.T) {
+	former, next := newTestCrashTracker(), newTestCrashTracker()
+	bad := fingerprint("smithy", http.MethodPost, "/chat/x", []byte("bad"))
+	suspect := fingerprint("smithy", http.MethodPost, "/chat/x", []byte("suspect"))
+	for _, id := range []catalog.EndpointID{"e1", "e2", "e3"} {
+		former.recordCrash(crash{Fingerprint: bad, Endpoint: id})
+	}
+	former.recordCrash(crash{Fingerprint: suspect, Endpoint: "e1"})
+	for range 2 {
+		next.apply(former.records(), "former")
+	}
+	if !isQuarantined(next, bad) {
+		t.Error("request in quarantine at one router runs at the next one")
+	}
+	next.recordCrash(crash{Fingerprint: suspect, Endpoint: "e2"})
+	if isQuarantined(next, suspect) {
+		t.Error("request quarantined after 2 crashes, of which one was adopted twice")
+	}
+	next.recordCrash(crash{Fingerprint: suspect, Endpoint: "e3"})
+	if !isQuarantined(next, suspect) {
+		t.Error("request not quarantined after 3 crashes, of which one was adopted")
+	}
+	for _, odd := range []crashRecord{{}, {Fingerprint: "x", Crashes: -1, LifetimeMS: 1000}, {Fingerprint: "y", Crashes: 1 << 40, LifetimeMS: -5}} {
+		next.apply(crashRecords{[]crashRecord{odd}}, "odd")
+	}
+	if n := len(next.records().Records); n != 2 {
+		t.Errorf("records = %d, want 2 without the odd ones", n)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -102,7 +102,10 @@
 	r.endpointLimits = quota.NewEndpointLimits(r.peers, log)
 	r.crashTracker = newCrashTracker(r.peers, log)
 	r.parts = newPartQuarantine(r.peers, log)
-	r.peers.OnFound = r.parts.fetch
+	r.peers.OnFound = func(p quota.Peer) {
+		r.parts.fetch(p)
+		r.crashTracker.fetch(p)
+	}
 	r.streamOrigins = newStreamOrigins(s.SchedulerPort, transport, log)
 	r.streamOrigins.updateRouter(platform.RouterRegistration{VM: s.VM, Address: s.PeersAddress, FailureDomain: s.FailureDomain}, true)
 	r.crashTracker.OnPartCrash = r.parts.recordCrash
