router, scheduler: crash records survive a loss of all routers

What callers see: after a kill of all routers, requests and prompt parts that were held back crash engines again.

Cause: only routers knew them, and read them from each other.

Three schedulers, chosen by a fixed key, keep the requests in quarantine or with two crashes, and the prompt parts that are suspects or in quarantine: internal/crashrecords, the one home of their wire format, which the calls between routers use too. A stored record never makes a known one milder.

--- /dev/null
+++ b/internal/crashrecords/doc.go
@@ -0,0 +1,10 @@
+// Package crashrecords keeps what routers know of requests and prompt parts that crash engines in the memory of a few
+// schedulers, so that a loss of all routers releases none of them. A Server holds the records; a Client
+// stores and reads them.
+//
+// Invariants:
+//
+//   - A stored record never makes a known one milder, except that a suspicion of a prompt part ends when a router
+//     has cleared it.
+//   - A Server holds a bounded number of records, each for a bounded time.
+package crashrecords
--- a/internal/router/crashtracker.go
+++ b/internal/router/crashtracker.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/crashrecords"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/quarantine"
 	"github.com/hyssoptiller/hyssoptiller/internal/quota"
@@ -35,12 +36,6 @@
 	maxReportsBytes = 2*maxPartsBytes + reportBytes
 	// reportBytes is the size of a report without its prompt parts, rounded up.
 	reportBytes = 512
-	// quarantineCrashes is the number of crashes that quarantines a request. The platform
-	// requires quarantine after the third crash.
-	quarantineCrashes = 3
-	// quarantineDuration is how long a quarantined request is refused. It is longer than the
-	// gap between two tries of such a request in the platform's workloads.
-	quarantineDuration = 2 * time.Minute
 	// crashProbeDelay gives a crashed process time to close its port.
 	crashProbeDelay = 40 * time.Millisecond
 	// crashProbeTimeout bounds the connection attempt that checks for a crash.
@@ -92,6 +87,8 @@
 	// OnPartCrash is called in the background for each reported crash that counts for prompt parts. It may
 	// be nil.
 	OnPartCrash func(partCrash)
+	// OnCounted is called in the background after a crash that this router has noticed was counted. It may be nil.
+	OnCounted func()
 
 	peers *quota.Peers
 	log   *logrus.Entry
@@ -104,10 +101,9 @@
 }
 
 func newCrashTracker(peers *quota.Peers, log *logrus.Entry) *crashTracker {
-	limits := quarantine.DefaultLimits()
-	limits.CrashesToQuarantine, limits.QuarantineDuration, limits.RecordLifetime =
-		quarantineCrashes, quarantineDuration, quarantineDuration
-	return &crashTracker{peers: peers, log: log, tracker: quarantine.NewCrashTracker(limits), counted: make(map[crashKey]countedCrash)}
+	return &crashTracker{
+		peers: peers, log: log, tracker: quarantine.NewCrashTracker(crashrecords.Limits()), counted: make(map[crashKey]countedCrash),
+	}
 }
 
 // fingerprint returns the fingerprint of a request.
@@ -149,6 +145,9 @@
 			}
 			t.broadcast(report)
 			t.recordReport(report)
+			if t.OnCounted != nil {
+				t.OnCounted()
+			}
 		}
 		if done != nil {
 			done()
@@ -227,13 +226,13 @@
 	}
 }
 
-// recordCrash counts a crash unless it was counted within quarantineDuration. An endpoint that comes back under its
+// recordCrash counts a crash unless it was counted within the duration of a quarantine. An endpoint that comes back under its
 // id may crash again.
 func (t *crashTracker) recordCrash(c crash) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	maps.DeleteFunc(t.counted, func(_ crashKey, c countedCrash) bool { return now.Sub(c.at) > quarantineDuration })
+	maps.DeleteFunc(t.counted, func(_ crashKey, c countedCrash) bool { return now.Sub(c.at) > crashrecords.Limits().QuarantineDuration })
 	key := crashKey{c.Fingerprint, c.Endpoint}
 	if last, known := t.counted[key]; known && last.repeats(c.Incarnation, now) {
 		return
@@ -245,47 +244,23 @@
 	}).Warn("endpoint crashed while it ran this request")
 }
 
-// crashRecords is the state of requests with crashes at a router.
-type crashRecords struct {
-	Records []crashRecord `json:"records"`
-}
-
-type crashRecord struct {
-	Fingerprint  quarantine.Fingerprint `json:"fingerprint"`
-	Crashes      int                    `json:"crashes"`
-	QuarantineMS int64                  `json:"quarantineMs"`
-	LifetimeMS   int64                  `json:"lifetimeMs"`
-}
-
-func encodeCrashRecord(h quarantine.HeldRequest) crashRecord {
-	return crashRecord{
-		Fingerprint: h.ID, Crashes: h.Crashes, QuarantineMS: h.Quarantine.Milliseconds(), LifetimeMS: h.Lifetime.Milliseconds(),
-	}
-}
-
-// records returns the requests with crashes, the latest of them if there are many.
-func (t *crashTracker) records() crashRecords {
+// records returns the requests with at least the given crashes, and those in quarantine; the latest of them if there are
+// many.
+func (t *crashTracker) records(crashes int) crashrecords.Records {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	held := t.tracker.Held(time.Now())
-	held = held[max(len(held)-maxCrashRecords, 0):]
-	out := crashRecords{Records: make([]crashRecord, len(held))}
-	for i, h := range held {
-		out.Records[i] = encodeCrashRecord(h)
-	}
-	return out
+	held := slices.DeleteFunc(t.tracker.Held(time.Now()), func(h quarantine.HeldRequest) bool {
+		return h.Crashes < crashes && h.Quarantine == 0
+	})
+	return crashrecords.Records{Requests: crashrecords.EncodeRequests(held[max(len(held)-maxCrashRecords, 0):])}
 }
 
 // apply adopts the records of another process.
-func (t *crashTracker) apply(in crashRecords, from string) {
+func (t *crashTracker) apply(in crashrecords.Records, from string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, r := range in.Records {
-		held := quarantine.HeldRequest{
-			ID: r.Fingerprint, Crashes: r.Crashes, Quarantine: time.Duration(r.QuarantineMS) * time.Millisecond,
-			Lifetime: time.Duration(r.LifetimeMS) * time.Millisecond,
-		}
-		if t.tracker.Apply(held, time.Now()) {
+	for _, r := range in.Requests {
+		if t.tracker.Apply(r.Decode(), time.Now()) {
 			t.log.WithFields(logrus.Fields{
 				"event": "crash_record", "fingerprint": r.Fingerprint, "crashes": r.Crashes, "ms": r.QuarantineMS, "from": from,
 			}).Info("crashes of a request adopted")
@@ -303,7 +278,7 @@
 	if enough {
 		return
 	}
-	var reply crashRecords
+	var reply crashrecords.Records
 	if err := t.peers.Call(context.Background(), from, pathCrashRecords, struct{}{}, &reply); err != nil {
 		t.log.WithError(err).WithField("peer", from.VM).Info("crashes of requests not read from router")
 		return
@@ -315,7 +290,7 @@
 func (t *crashTracker) mount(r chi.Router) {
 	r.Post(pathCrashRecords, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(t.records()); err != nil {
+		if err := json.NewEncoder(w).Encode(t.records(1)); err != nil {
 			t.log.WithError(err).Info("crashes of requests not sent")
 		}
 	})
--- a/internal/router/crashtracker_test.go
+++ b/internal/router/crashtracker_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/crashrecords"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/quarantine"
 	"github.com/hyssoptiller/hyssoptiller/internal/quota"
 )
@@ -198,7 +199,7 @@
 	}
 	former.recordCrash(crash{Fingerprint: suspect, Endpoint: "e1"})
 	for range 2 {
-		next.apply(former.records(), "former")
+		next.apply(former.records(1), "former")
 	}
 	if !isQuarantined(next, bad) {
 		t.Error("request in quarantine at one router runs at the next one")
@@ -211,10 +212,10 @@
 	if !isQuarantined(next, suspect) {
 		t.Error("request not quarantined after 3 crashes, of which one was adopted")
 	}
-	for _, odd := range []crashRecord{{}, {Fingerprint: "x", Crashes: -1, LifetimeMS: 1000}, {Fingerprint: "y", Crashes: 1 << 40, LifetimeMS: -5}} {
-		next.apply(crashRecords{[]crashRecord{odd}}, "odd")
+	for _, odd := range []crashrecords.Request{{}, {Fingerprint: "x", Crashes: -1, LifetimeMS: 1000}, {Fingerprint: "y", Crashes: 1 << 40, LifetimeMS: -5}} {
+		next.apply(crashrecords.Records{Requests: []crashrecords.Request{odd}}, "odd")
 	}
-	if n := len(next.records().Records); n != 2 {
+	if n := len(next.records(1).Requests); n != 2 {
 		t.Errorf("records = %d, want 2 without the odd ones", n)
 	}
 }
--- a/internal/router/partquarantine.go
+++ b/internal/router/partquarantine.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/crashrecords"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/quarantine"
 	"github.com/hyssoptiller/hyssoptiller/internal/quota"
 	"github.com/hyssoptiller/hyssoptiller/internal/schedulerapi"
@@ -70,28 +71,15 @@
 	Proven   []string `json:"proven"`
 }
 
-// heldParts is the state of prompt parts at a router.
-type heldParts struct {
-	Parts []heldPart `json:"parts"`
-}
-
-type heldPart struct {
-	Part        string               `json:"part"`
-	State       quarantine.PartState `json:"state"`
-	RemainingMS int64                `json:"remainingMs"`
-	Quarantines int                  `json:"quarantines"`
-}
-
-func encodeHeldParts(parts []quarantine.HeldPart) heldParts {
-	out := heldParts{Parts: make([]heldPart, len(parts))}
-	for i, p := range parts {
-		out.Parts[i] = heldPart{Part: p.Part, State: p.State, RemainingMS: p.Remaining.Milliseconds(), Quarantines: p.Quarantines}
-	}
-	return out
+func encodeHeldParts(parts []quarantine.HeldPart) crashrecords.Records {
+	return crashrecords.Records{Parts: crashrecords.EncodeParts(parts)}
 }
 
 // partQuarantine holds back prompt parts on which engines crash, together with the other routers.
 type partQuarantine struct {
+	// OnChange is called after this router has found a new state of a part. It must not block; it may be nil.
+	OnChange func()
+
 	peers *quota.Peers
 	log   *logrus.Entry
 
@@ -138,7 +126,11 @@
 	t.peers.Broadcast(context.Background(), pathPartChanges, encodeHeldParts(changes))
 }
 
+// logChanges logs new states of parts. from is the process that they were adopted from, "" for this one.
 func (t *partQuarantine) logChanges(changes []quarantine.HeldPart, from string) {
+	if from == "" && len(changes) > 0 && t.OnChange != nil {
+		t.OnChange()
+	}
 	for _, c := range changes {
 		t.log.WithFields(logrus.Fields{
 			"event": "prompt_part", "part": c.Part, "state": c.State, "ms": c.Remaining.Milliseconds(), "from": from,
@@ -215,7 +207,7 @@
 	if enough {
 		return
 	}
-	var reply heldParts
+	var reply crashrecords.Records
 	if err := t.peers.Call(context.Background(), from, pathHeldParts, struct{}{}, &reply); err != nil {
 		t.log.WithError(err).WithField("peer", from.VM).Info("prompt parts in quarantine not read from router")
 		return
@@ -224,19 +216,24 @@
 }
 
 // apply adopts the states of parts at another router.
-func (t *partQuarantine) apply(h heldParts, from string) {
+func (t *partQuarantine) apply(h crashrecords.Records, from string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range h.Parts {
-		part := quarantine.HeldPart{
-			Part: p.Part, State: p.State, Remaining: time.Duration(p.RemainingMS) * time.Millisecond, Quarantines: p.Quarantines,
-		}
-		if t.tracker.Apply(part, time.Now()) {
+		part := p.Decode()
+		if part.Part != "" && t.tracker.Apply(part, time.Now()) {
 			t.logChanges([]quarantine.HeldPart{part}, from)
 		}
 	}
 }
 
+// records returns the parts that are suspects or in quarantine.
+func (t *partQuarantine) records() crashrecords.Records {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return encodeHeldParts(t.tracker.Held(time.Now()))
+}
+
 // mount adds the handlers for the calls of other routers to r.
 func (t *partQuarantine) mount(r chi.Router) {
 	r.Post(pathPartFinishes, func(w http.ResponseWriter, req *http.Request) {
@@ -246,16 +243,13 @@
 		}
 	})
 	r.Post(pathPartChanges, func(w http.ResponseWriter, req *http.Request) {
-		var h heldParts
+		var h crashrecords.Records
 		if schedulerapi.DecodeRequest(w, req, maxPartsBytes, &h) {
 			t.apply(h, req.RemoteAddr)
 		}
 	})
 	r.Post(pathHeldParts, func(w http.ResponseWriter, _ *http.Request) {
-		t.mu.Lock()
-		held := t.tracker.Held(time.Now())
-		t.mu.Unlock()
-		t.writeReply(w, encodeHeldParts(held))
+		t.writeReply(w, t.records())
 	})
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,7 +14,9 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/crashrecords"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/routing"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/streamorigin"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 	"github.com/hyssoptiller/hyssoptiller/internal/quota"
 	"github.com/hyssoptiller/hyssoptiller/internal/relay"
@@ -67,6 +69,7 @@
 	endpointLimits  *quota.EndpointLimits
 	crashTracker    *crashTracker
 	parts           *partQuarantine
+	crashRecords    *crashRecordStore
 	streamOrigins   *streamOrigins
 	budgets         *retryBudgets
 	streamLengths   *streamLengths
@@ -109,6 +112,25 @@
 	r.streamOrigins = newStreamOrigins(s.SchedulerPort, transport, log)
 	r.streamOrigins.updateRouter(platform.RouterRegistration{VM: s.VM, Address: s.PeersAddress, FailureDomain: s.FailureDomain}, true)
 	r.crashTracker.OnPartCrash = r.parts.recordCrash
+	r.crashRecords = newCrashRecordStore(transport)
+	r.crashRecords.holders = func() []streamorigin.Holder {
+		v := r.state.View()
+		if v.Config == nil || !v.Synced {
+			return nil
+		}
+		return r.streamOrigins.holders(v).Schedulers
+	}
+	r.crashRecords.records = func() crashrecords.Records {
+		records := r.crashTracker.records(storedCrashes)
+		records.Parts = r.parts.records().Parts
+		return records
+	}
+	r.crashRecords.adopt = func(from string, records crashrecords.Records) {
+		r.crashTracker.apply(records, from)
+		r.parts.apply(records, from)
+	}
+	r.crashRecords.isOwner = func() bool { return r.peers.Owns(crashRecordsKey, 0, time.Now()) }
+	r.crashTracker.OnCounted, r.parts.OnChange = r.crashRecords.publish, r.crashRecords.publish
 	r.budgets = newRetryBudgets(s.RetryRatio, s.RetryBurst, r.peers.Count)
 	return r
 }
@@ -141,6 +163,7 @@
 	base.Add(catalog.Expirer{State: r.state, Log: r.log})
 	base.Add(r.peers)
 	base.Add(service{"sync", r.syncLoop})
+	base.Add(service{"crash records", r.crashRecords.run})
 	frontGrace := max(r.settings.ShutdownGrace-drainAcceptDuration-drainMargin, time.Second)
 	front := process.NewSupervisor("front", r.log, frontGrace)
 	registration := platform.RouterRegistration{
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/crashrecords"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/availability"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
@@ -58,6 +59,7 @@
 	pausedUntil  time.Time                                 // The incarnation wants no calls before.
 
 	streamRecords *streamrecords.Server // Software versions of streams of all engines.
+	crashRecords  *crashrecords.Server  // Requests and prompt parts that crash engines, of all engines.
 
 	wake    chan struct{} // Wakes the Serve loop after a change.
 	changed *broadcast    // Notifies the snapshot streams of a change.
@@ -68,7 +70,7 @@
 	return &Engine{
 		client: client, log: log, counters: counters, machine: grants.New(config),
 		waiters: make(map[grants.RequestID]chan grants.Decision), wake: make(chan struct{}, 1), changed: newBroadcast(),
-		streamRecords: streamrecords.NewServer(log),
+		streamRecords: streamrecords.NewServer(log), crashRecords: crashrecords.NewServer(log),
 	}
 }
 
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -31,6 +31,7 @@
 	r.Get(schedulerapi.PathSnapshots, e.serveSnapshots)
 	r.Get(schedulerapi.PathIncarnation, e.serveIncarnation)
 	e.streamRecords.Mount(r)
+	e.crashRecords.Mount(r)
 	return r
 }
 
--- a/internal/schedulerapi/schedulerapi.go
+++ b/internal/schedulerapi/schedulerapi.go
@@ -5,11 +5,16 @@
 package schedulerapi
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 )
@@ -139,3 +144,31 @@
 	}
 	return true
 }
+
+// ErrNoResponse reports that a process did not respond to a call or responded with an error.
+const ErrNoResponse = errors.ConstError("process did not respond to the call")
+
+// Post sends a call with a JSON body to HOST:PORT/PATH and returns the body of its response, of at most maxBytes.
+func Post(ctx context.Context, client *http.Client, url string, body any, maxBytes int64) ([]byte, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+url, bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, errors.WithType(err, ErrNoResponse)
+	}
+	defer resp.Body.Close()
+	reply, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes))
+	if err != nil {
+		return nil, errors.WithType(err, ErrNoResponse)
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusNoContent {
+		return nil, errors.WithType(errors.Errorf("status %d", resp.StatusCode), ErrNoResponse)
+	}
+	return reply, nil
+}
--- a/internal/streamrecords/client.go
+++ b/internal/streamrecords/client.go
@@ -1,21 +1,15 @@
 package streamrecords
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/streamorigin"
+	"github.com/hyssoptiller/hyssoptiller/internal/schedulerapi"
 )
 
-// ErrNoResponse reports that a holder did not respond to a call or responded with an error.
-const ErrNoResponse = errors.ConstError("holder of stream records did not respond")
-
 const (
 	// storeWait is how long the first event of a stream waits for its record. It is part of the time within
 	// which an event must be forwarded, 120 ms.
@@ -51,7 +45,7 @@
 			// The caller's leaving must not lose the record: it may come back.
 			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 			defer cancel()
-			_, err := c.post(callCtx, h.Address+pathStore, req)
+			_, err := schedulerapi.Post(callCtx, c.client, h.Address+pathStore, req, maxCallBytes)
 			results <- err
 		}()
 	}
@@ -90,7 +84,8 @@
 		go func() {
 			var r response
 			var data []byte
-			data, r.err = c.post(ctx, h.Address+pathLookup, lookupRequest{Organisation: key.Organisation, RequestID: key.RequestID})
+			call := lookupRequest{Organisation: key.Organisation, RequestID: key.RequestID}
+			data, r.err = schedulerapi.Post(ctx, c.client, h.Address+pathLookup, call, maxCallBytes)
 			if r.err == nil {
 				r.err = json.Unmarshal(data, &r.reply)
 			}
@@ -116,28 +111,3 @@
 	}
 	return l
 }
-
-// post sends a call and returns the body of its response.
-func (c *Client) post(ctx context.Context, url string, body any) ([]byte, error) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+url, bytes.NewReader(data))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return nil, errors.WithType(err, ErrNoResponse)
-	}
-	defer resp.Body.Close()
-	reply, err := io.ReadAll(io.LimitReader(resp.Body, maxCallBytes))
-	if err != nil {
-		return nil, errors.WithType(err, ErrNoResponse)
-	}
-	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusNoContent {
-		return nil, errors.WithType(errors.Errorf("status %d", resp.StatusCode), ErrNoResponse)
-	}
-	return reply, nil
-}
