--- a/internal/delta/delta_test.go
+++ b/internal/delta/delta_test.go
@@ -94,21 +94,37 @@
 	})
 }
 
+// A change of one entry, and a whole string, by size.
 func BenchmarkEncode(b *testing.B) {
-	base := text(1, 300<<10)
-	target := bytes.Clone(base)
-	copy(target[len(target)/2:], "changed")
-	b.SetBytes(int64(len(target)))
-	for b.Loop() {
-		Encode(base, target)
+	for _, size := range []int{10 << 10, 100 << 10, 1000 << 10} {
+		base := text(1, size)
+		changed := bytes.Clone(base)
+		copy(changed[len(changed)/2:], "changed")
+		for name, from := range map[string][]byte{"change": base, "whole": nil} {
+			b.Run(fmt.Sprint(name, "/", size>>10, "KB"), func(b *testing.B) {
+				b.SetBytes(int64(len(changed)))
+				b.ReportMetric(float64(len(Encode(from, changed))), "encoded-bytes")
+				for b.Loop() {
+					Encode(from, changed)
+				}
+			})
+		}
 	}
 }
 
-func BenchmarkEncodeWhole(b *testing.B) {
-	target := text(1, 300<<10)
-	b.SetBytes(int64(len(target)))
-	b.ReportMetric(float64(len(Encode(nil, target))), "encoded-bytes")
-	for b.Loop() {
-		Encode(nil, target)
+func BenchmarkDecode(b *testing.B) {
+	for _, size := range []int{10 << 10, 100 << 10, 1000 << 10} {
+		base := text(1, size)
+		changed := bytes.Clone(base)
+		copy(changed[len(changed)/2:], "changed")
+		encoded := Encode(base, changed)
+		b.Run(fmt.Sprint(size>>10, "KB"), func(b *testing.B) {
+			b.SetBytes(int64(len(changed)))
+			for b.Loop() {
+				if _, err := Decode(base, encoded, maxBytes); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
 	}
 }
