delta: compressors are reused

Cause: a new compressor for each delta allocates its tables, a megabyte, which is most of the work for a small value.

--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -10,6 +10,7 @@
 	"compress/flate"
 	"encoding/binary"
 	"io"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -61,6 +62,15 @@
 	return offsets
 }
 
+// compressors holds compressors for reuse: the tables of one take a megabyte.
+var compressors = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // Only an invalid level is an error.
+	}
+	return w
+}}
+
 // writer writes operations.
 type writer struct {
 	w       *flate.Writer
@@ -85,10 +95,9 @@
 // Encode returns the encoding of target with respect to base, which may be empty.
 func Encode(base, target []byte) []byte {
 	var out bytes.Buffer
-	compressor, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		panic(err) // Only an invalid level is an error.
-	}
+	compressor := compressors.Get().(*flate.Writer)
+	defer compressors.Put(compressor)
+	compressor.Reset(&out)
 	w := &writer{w: compressor}
 	_, _ = compressor.Write(binary.AppendUvarint(w.scratch[:0], uint64(len(target))))
 	_, _ = compressor.Write(binary.BigEndian.AppendUint64(w.scratch[:0], xxhash.Sum64(target)))
