routing: the latency of a plain endpoint has an age

What callers see: one idle endpoint of a plain service gets no requests while its neighbours are in use.

Cause: the moving average of its latency changed only with a request to it. One slow sample, as right after a start, kept it out for as long as the neighbours were not full, on each router by itself.

The latency is unknown, and counts as usual, 5 s after its last sample; the next sample starts anew. Failure rates decay and blocks end by time already.

--- a/internal/policy/routing/health.go
+++ b/internal/policy/routing/health.go
@@ -16,6 +16,8 @@
 	// failureLifetime is the time after which the failure rate is reset: after
 	// seven half-lives less than 1% of it remains.
 	failureLifetime = 7 * failureHalfLife
+	// latencyLifetime is how long the latency of an endpoint counts without a new sample.
+	latencyLifetime = 5 * time.Second
 	// minBlockTime and maxBlockTime bound the time for which an unreachable
 	// endpoint receives no requests. A crashed endpoint restarts within a few
 	// seconds.
@@ -29,6 +31,7 @@
 	failureRate    float64
 	decayedAt      time.Time // Time up to which failureRate has decayed.
 	latencyMS      float64   // 0 if there were no successful requests.
+	latencyAt      time.Time // Last successful request.
 	unreachedCount int       // Calls of RecordUnreachable since the last success.
 	blockedUntil   time.Time
 }
@@ -39,11 +42,10 @@
 	h.failureRate -= healthWeight * h.failureRate
 	h.unreachedCount = 0
 	ms := millis.FromDuration(took)
-	if h.latencyMS == 0 {
-		h.latencyMS = ms
-		return
+	if known := h.LatencyMS(now); known > 0 {
+		ms = known + healthWeight*(ms-known)
 	}
-	h.latencyMS += healthWeight * (ms - h.latencyMS)
+	h.latencyMS, h.latencyAt = ms, now
 }
 
 // RecordFailure records a request that failed after it reached the endpoint.
@@ -70,9 +72,14 @@
 	return h.failureRate
 }
 
-// LatencyMS returns the moving average of the duration of successful requests, or 0
-// if there were none.
-func (h *Health) LatencyMS() float64 { return h.latencyMS }
+// LatencyMS returns the moving average of the duration of successful requests, or 0 if there were none within
+// latencyLifetime. A slow endpoint gets few requests, so that an older average would stay.
+func (h *Health) LatencyMS(now time.Time) float64 {
+	if now.Sub(h.latencyAt) > latencyLifetime {
+		return 0
+	}
+	return h.latencyMS
+}
 
 // decay halves the failure rate once per elapsed failureHalfLife.
 func (h *Health) decay(now time.Time) {
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -186,7 +186,7 @@
 		s := e.stats(ep)
 		c := routing.PlainEndpoint{
 			ID: ep.ID, FailureDomain: ep.FailureDomain, Slots: ep.Slots, Outstanding: s.outstanding,
-			FailureRate: s.health.FailureRate(now), LatencyMS: s.health.LatencyMS(), Tried: tried[ep.ID],
+			FailureRate: s.health.FailureRate(now), LatencyMS: s.health.LatencyMS(now), Tried: tried[ep.ID],
 		}
 		all = append(all, c)
 		if !s.health.IsBlocked(now) {
