relay: cached deltas are bounded in number

Found by reading: the cache kept deltas for each key with a large value that a relay ever served, so that another writer that adds large entries without end would fill its memory.

Sixteen keys are cached; beyond that the cache starts anew.

--- a/internal/relay/deltas.go
+++ b/internal/relay/deltas.go
@@ -12,6 +12,8 @@
 const (
 	// maxHave bounds the values that a caller names to a relay.
 	maxHave = 16
+	// maxCachedKeys bounds the keys whose deltas are cached.
+	maxCachedKeys = 16
 	// maxValueBytes bounds a value that was sent as a delta.
 	maxValueBytes = 4 << 20
 )
@@ -19,8 +21,8 @@
 // errBadDelta reports a value that could not be decoded.
 const errBadDelta = errors.ConstError("delta of a relayed value does not match the known value")
 
-// deltaCache keeps the deltas to the latest value of each key, since most callers have the same former one. It is safe for
-// concurrent use.
+// deltaCache keeps the deltas to the latest value of maxCachedKeys keys, since most callers have the same former one. It is
+// safe for concurrent use.
 type deltaCache struct {
 	mu     sync.Mutex
 	latest map[string]*cachedDeltas
@@ -40,6 +42,9 @@
 		c.latest = make(map[string]*cachedDeltas)
 	}
 	cached := c.latest[key]
+	if cached == nil && len(c.latest) >= maxCachedKeys {
+		clear(c.latest) // Few keys have large values, unless another writer floods the store.
+	}
 	if cached == nil || cached.epoch != epoch || cached.revision != revision {
 		cached = &cachedDeltas{epoch: epoch, revision: revision, byBase: make(map[int64][]byte)}
 		c.latest[key] = cached
--- a/internal/relay/deltas_test.go
+++ b/internal/relay/deltas_test.go
@@ -137,3 +137,19 @@
 		t.Errorf("%d held values, revision of the first %d; want %d and 99", len(held), held["a"].Revision, maxHave-1)
 	}
 }
+
+// Another writer that adds large items without end costs a relay a bounded number of cached deltas.
+func TestCachedDeltasAreBounded(t *testing.T) {
+	var cache deltaCache
+	for revision := range int64(10 * maxCachedKeys) {
+		cache.encode(string(rune('a'+revision)), 1, 0, revision, nil, testConfig(2000, 1))
+	}
+	if len(cache.latest) > maxCachedKeys {
+		t.Errorf("keys with cached deltas = %d, want at most %d", len(cache.latest), maxCachedKeys)
+	}
+	target := testConfig(2000, 2)
+	got, err := delta.Decode(nil, cache.encode("last", 1, 0, 7, nil, target), maxValueBytes)
+	if err != nil || !bytes.Equal(got, target) {
+		t.Errorf("delta after the flood: %d bytes, error %v; want the value", len(got), err)
+	}
+}
