--- a/internal/relay/reader.go
+++ b/internal/relay/reader.go
@@ -44,13 +44,13 @@
 
 // Relays holds the known relays of a process. It is safe for concurrent use.
 type Relays struct {
-	client  *http.Client
-	log     *logrus.Entry
-	direct  tally.Counter // Watches of the store.
-	relayed tally.Counter // Watches of relays that returned changes or confirmed that there are none.
-	failed  tally.Counter // Watches of relays that failed.
-	bytes   tally.Counter // Bytes of the values read, from relays and the store.
-	useless tally.Counter // Bytes of values that a later change in the same response replaced.
+	client        *http.Client
+	log           *logrus.Entry
+	direct        tally.Counter // Watches of the store.
+	relayed       tally.Counter // Watches of relays that returned changes or confirmed that there are none.
+	failed        tally.Counter // Watches of relays that failed.
+	valueBytes    tally.Counter // Bytes of the values read, from relays and the store.
+	replacedBytes tally.Counter // Bytes of values that a later change in the same response replaced.
 
 	mu      sync.Mutex
 	chooser *relaychoice.Chooser
@@ -62,8 +62,8 @@
 	return &Relays{
 		client: &http.Client{Transport: transport}, log: log, chooser: relaychoice.NewChooser(vm, failureDomain),
 		direct: scope.Counter("direct_watches_total"), relayed: scope.Counter("relayed_watches_total"),
-		failed: scope.Counter("failed_watches_total"), bytes: scope.Counter("value_bytes_total"),
-		useless: scope.Counter("replaced_value_bytes_total"),
+		failed: scope.Counter("failed_watches_total"), valueBytes: scope.Counter("value_bytes_total"),
+		replacedBytes: scope.Counter("replaced_value_bytes_total"),
 	}
 }
 
@@ -122,7 +122,7 @@
 	confirmedAt time.Time // Time up to which the last watch missed no change.
 	readAt      time.Time // End of the last listing or watch that did not fail.
 	failedAt    time.Time // Last failed watch of the store; zero if the last one succeeded.
-	large       bool      // The last value of some item was large.
+	large       bool      // A value was large since the last listing by the Follower.
 	listNext    bool      // The next read of the store is a listing.
 	held        heldValues
 }
@@ -250,8 +250,8 @@
 // returned changes. vm is that of the relay, "" for the store.
 func (r *Reader) logWatch(vm string, began time.Time, after catalog.Position, changes catalog.Changes, err error) {
 	total, replaced := changes.ValueBytes()
-	r.Relays.bytes.Inc(int64(total))
-	r.Relays.useless.Inc(int64(replaced))
+	r.Relays.valueBytes.Inc(int64(total))
+	r.Relays.replacedBytes.Inc(int64(replaced))
 	log := r.Relays.log.WithFields(logrus.Fields{
 		"topic": r.Topic, "relay": vm, "took_ms": time.Since(began).Milliseconds(), "after": after.Revision,
 		"age_ms": time.Since(r.confirmedAt).Milliseconds(),
