router: a failure is not written into a stream that has begun

What callers see: a stream that looks complete and ends with the text of an error, which is not part of it.

Cause: when the second endpoint of a stream answers with a failure below 500, the response was passed on as the final one, into the stream whose header and events the caller had already.

Such a stream is broken off. TestFailureIsNotWrittenIntoBegunStream failed before (status 200, whole, with the text at its end).

--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -128,6 +128,10 @@
 func (r *Router) handleResult(q *request, res result, resp *response, failure **response) bool {
 	switch res {
 	case resultResponded:
+		if resp != nil && q.headerSent {
+			r.refuseUnanswered(q) // The response is no part of the stream that has begun.
+			return true
+		}
 		if resp != nil {
 			r.writeResponse(q, resp)
 		}
