--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -6,6 +6,8 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/upstream"
 )
 
 // Counters holds the router's metrics.
@@ -59,6 +61,12 @@
 	}
 }
 
+// recordRefusal counts a response in which an endpoint states that it did not run the request.
+func (c *Counters) recordRefusal(resp *upstream.Response) {
+	tags := map[string]string{"named": strconv.FormatBool(resp.Named), "reused": strconv.FormatBool(resp.Reused)}
+	c.scope.Tagged(tags).Counter("endpoint_refusals_total").Inc(1)
+}
+
 // clip bounds the length of a value that a caller sent, for the log.
 func clip(value string) string {
 	const maxLength = 64
@@ -101,5 +109,8 @@
 	if len(q.trace.steps) > 0 {
 		fields["steps"] = q.trace.steps
 	}
+	if len(q.trace.evidence) > 0 {
+		fields["evidence"] = q.trace.evidence
+	}
 	r.log.WithFields(fields).Info("request ended")
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/streamorigin"
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
+	"github.com/hyssoptiller/hyssoptiller/internal/upstream"
 	"github.com/hyssoptiller/hyssoptiller/platform"
 )
 
@@ -56,6 +58,7 @@
 	firstByte    time.Duration // Time from arrival to the first byte of the response.
 	longestGap   time.Duration // Longest gap between two events.
 	steps        []string      // Endpoint and result of each attempt.
+	evidence     []string      // Of attempts without a complete response: endpoint and what tells whether it ran.
 	broken       bool          // An endpoint broke off an attempt.
 	software     []string      // Software versions of the endpoints whose events were forwarded, in order; "" if unknown.
 	recordCopies int           // Holders that had the record of the software version when the stream began.
@@ -64,14 +67,35 @@
 // remaining returns the time until the deadline.
 func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
 
+// maxSteps bounds the length of the log line.
+const maxSteps = 12
+
 // addStep records the result of an attempt at an endpoint.
 func (q *request) addStep(id catalog.EndpointID, result string) {
-	const maxSteps = 12 // Bounds the length of the log line.
 	if len(q.trace.steps) < maxSteps {
 		q.trace.steps = append(q.trace.steps, string(id)+":"+result)
 	}
 }
 
+// addEvidence records what tells whether an endpoint ran an attempt that brought no complete response.
+func (q *request) addEvidence(id catalog.EndpointID, evidence string) {
+	if len(q.trace.evidence) < maxSteps {
+		q.trace.evidence = append(q.trace.evidence, string(id)+":"+evidence)
+	}
+}
+
+// addRefusalEvidence records the response in which an endpoint states that it did not run an attempt.
+func (q *request) addRefusalEvidence(id catalog.EndpointID, resp *upstream.Response) {
+	evidence := strconv.Itoa(resp.Status)
+	if !resp.Named {
+		evidence += "_unnamed"
+	}
+	if resp.Reused {
+		evidence += "_reused"
+	}
+	q.addEvidence(id, evidence)
+}
+
 // sharedParts returns the IDs of all prompt parts but the last, which belongs to this request or
 // its session. Other requests may share these parts.
 func (q *request) sharedParts() []string {
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -53,6 +53,7 @@
 	}
 	upResp, err := r.pool.Do(q.ctx, endpoint.Address, upReq, silenceLimit)
 	if err != nil {
+		q.addEvidence(endpoint.ID, evidenceOf(err))
 		return q.sendFailed(err), nil
 	}
 	q.delivered++
@@ -61,7 +62,10 @@
 		r.observeRateLimit(endpoint, upResp)
 		r.observeAvailability(endpoint, head)
 	}
-	if !head.NotExecuted {
+	if head.NotExecuted {
+		q.addRefusalEvidence(endpoint.ID, upResp)
+		r.counters.recordRefusal(upResp)
+	} else {
 		q.possibleRuns++
 	}
 	if head.Forged {
@@ -148,6 +152,20 @@
 	}
 }
 
+// evidenceOf names what an error of the connection tells about the request, for the log.
+func evidenceOf(err error) string {
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		return "not_sent"
+	case errors.Is(err, upstream.ErrWrongResponse):
+		return "wrong_response"
+	case errors.Is(err, upstream.ErrMalformedResponse):
+		return "malformed"
+	default:
+		return "connection_broken"
+	}
+}
+
 // sendFailed returns the result for a request that got no response header.
 func (q *request) sendFailed(err error) result {
 	if errors.Is(err, upstream.ErrNotSent) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -42,6 +42,8 @@
 	Status int
 	Header http.Header
 	Body   io.Reader // Read returns ErrConnectionBroken if the body ends early.
+	Named  bool      // The response names the request.
+	Reused bool      // The connection carried other requests before.
 
 	exchange *exchange
 }
@@ -60,7 +62,8 @@
 	stopWatch    func() bool
 	bodyComplete bool // The response body was read to its end.
 	closeOnce    sync.Once
-	skipped      int // Skipped responses of earlier requests.
+	skipped      int  // Skipped responses of earlier requests.
+	named        bool // The response names the request.
 }
 
 // Do sends r to address (HOST:PORT) and returns once the head of its response has
@@ -74,6 +77,7 @@
 		return nil, err
 	}
 	x := &exchange{pool: p, address: address, conn: c, sent: make(chan struct{})}
+	c.requests++
 	x.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	x.startSend(r)
 	if silence > 0 {
@@ -86,7 +90,9 @@
 	_ = c.SetReadDeadline(time.Time{})
 	x.resp = resp
 	c.updateIdleTimeout(resp.Header)
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: &body{x: x}, exchange: x}, nil
+	return &Response{
+		Status: resp.StatusCode, Header: resp.Header, Body: &body{x: x}, Named: x.named, Reused: c.requests > 1, exchange: x,
+	}, nil
 }
 
 // maxBlockingSend is the largest request, in bytes, that is sent before its
@@ -134,7 +140,8 @@
 		}
 		switch {
 		case match == MatchOwn:
-			x.conn.named = r.MatchResponse != nil
+			x.named = r.MatchResponse != nil
+			x.conn.named = x.named
 			return resp, nil
 		case match == MatchUnnamed && !x.conn.named:
 			return resp, nil
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -70,6 +70,7 @@
 	idleTimeout time.Duration // The connection is not reused after this idle time.
 	idleSince   time.Time
 	named       bool // A response has named its request.
+	requests    int  // Requests that were sent on the connection.
 }
 
 // NewPool returns an empty Pool that dials TCP.
