--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -32,9 +32,11 @@
 
 // Values of Match.
 const (
-	MatchOwn     Match = iota // The response names the request.
-	MatchOther                // The response names another request.
-	MatchUnnamed              // The response names no request. It is the request's own unless the endpoint named one before.
+	MatchOwn   Match = iota // The response names the request.
+	MatchOther              // The response names another request.
+	// MatchUnnamed: the response names no request. It is the request's own only if nothing else can have caused it: as the
+	// first response on a connection that has carried no other request.
+	MatchUnnamed
 )
 
 // Response is the response of an endpoint. The receiver must call Close.
@@ -64,6 +66,7 @@
 	closeOnce    sync.Once
 	skipped      int  // Skipped responses of earlier requests.
 	named        bool // The response names the request.
+	unnamed      bool // The response names no request, although Request.MatchResponse asks for it.
 }
 
 // Do sends r to address (HOST:PORT) and returns once the head of its response has
@@ -141,12 +144,14 @@
 		switch {
 		case match == MatchOwn:
 			x.named = r.MatchResponse != nil
-			x.conn.named = x.named
-			return resp, nil
-		case match == MatchUnnamed && !x.conn.named:
 			return resp, nil
 		case match == MatchUnnamed:
-			return nil, ErrWrongResponse
+			x.pool.recordUnnamed(x.address, time.Now())
+			if x.conn.requests > 1 || x.skipped > 0 {
+				return nil, ErrWrongResponse
+			}
+			x.unnamed = true
+			return resp, nil
 		}
 		x.conn.limit.left = math.MaxInt64
 		if err := x.skipResponse(resp); err != nil {
@@ -238,14 +243,15 @@
 }
 
 // reusable reports whether the connection can serve another request: the request
-// was sent completely, no response was skipped, and nothing follows the response.
+// was sent completely, its response names it, no response was skipped, and nothing
+// follows the response.
 func (x *exchange) reusable() bool {
 	select {
 	case <-x.sent:
 	default:
 		return false // The endpoint responded before it read the whole request.
 	}
-	return x.sendErr == nil && x.skipped == 0 && !x.resp.Close && x.conn.br.Buffered() == 0 && selfDelimited(x.resp)
+	return x.sendErr == nil && x.skipped == 0 && !x.unnamed && !x.resp.Close && x.conn.br.Buffered() == 0 && selfDelimited(x.resp)
 }
 
 // selfDelimited reports whether a response has a length or is chunked, so that
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -44,7 +45,10 @@
 	// maxIdleIfRunOnce is the longest idle time of a connection that may carry a
 	// request that must not run twice: after a reset it is unknown whether the
 	// request ran.
-	maxIdleIfRunOnce  = 400 * time.Millisecond
+	maxIdleIfRunOnce = 400 * time.Millisecond
+	// unnamedRetention is how long an address gets a connection for each request after a response that named no
+	// request. Endpoints that leave the name out do so in refusals, which come while they are overloaded.
+	unnamedRetention  = time.Minute
 	readBufferBytes   = 8 << 10
 	maxIdlePerAddress = 16
 	// maxHeadBytes bounds the head of a response with the informational responses before it. Go's servers
@@ -57,9 +61,10 @@
 	// Dial opens connections. NewPool sets a TCP dialer with keep-alive probes.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	OnDial func() // Called for each new connection; may be nil. Not guarded by mu.
+	mu      sync.Mutex
+	idle    map[string][]*conn
+	unnamed map[string]time.Time // By address: when its last response came that named no request.
+	OnDial  func()               // Called for each new connection; may be nil. Not guarded by mu.
 }
 
 // conn is a pooled connection.
@@ -69,8 +74,7 @@
 	limit       *readLimit    // What br reads from.
 	idleTimeout time.Duration // The connection is not reused after this idle time.
 	idleSince   time.Time
-	named       bool // A response has named its request.
-	requests    int  // Requests that were sent on the connection.
+	requests    int // Requests that were sent on the connection.
 }
 
 // NewPool returns an empty Pool that dials TCP.
@@ -80,7 +84,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 		Control:         setUserTimeout,
 	}
-	return &Pool{Dial: d.DialContext, idle: make(map[string][]*conn)}
+	return &Pool{Dial: d.DialContext, idle: make(map[string][]*conn), unnamed: make(map[string]time.Time)}
 }
 
 // tcpUserTimeout is the Linux option TCP_USER_TIMEOUT, missing in package syscall.
@@ -97,7 +101,7 @@
 // request must not run twice. Dial errors are of type ErrNotSent.
 func (p *Pool) get(ctx context.Context, address string, runOnce bool) (*conn, error) {
 	now := time.Now()
-	for {
+	for !p.sendsUnnamed(address, now) {
 		c := p.popIdle(address)
 		if c == nil {
 			break
@@ -165,10 +169,27 @@
 	p.idle[address] = append(list, c)
 }
 
+// recordUnnamed records a response of an address that names no request.
+func (p *Pool) recordUnnamed(address string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unnamed[address] = now
+}
+
+// sendsUnnamed reports whether responses of an address lately named no request. On a connection that has carried
+// another request, such a response proves nothing.
+func (p *Pool) sendsUnnamed(address string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, found := p.unnamed[address]
+	return found && now.Sub(at) < unnamedRetention
+}
+
 // CloseExpired closes the connections whose idle timeout has passed at now.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	maps.DeleteFunc(p.unnamed, func(_ string, at time.Time) bool { return now.Sub(at) >= unnamedRetention })
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -152,21 +153,26 @@
 
 // A faulty endpoint writes an earlier refusal once more, where the next response is expected. The refusal says that a
 // request did not run, and it is not that of this request: with the id of the earlier one it is skipped, without an id it
-// proves nothing.
+// proves nothing, whether or not earlier responses of the connection had one.
 func TestRepeatedRefusalIsNotTakenForTheNextResponse(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
 	for name, tc := range map[string]struct {
-		repeated string // Header of the repeated refusal.
-		wantErr  error
+		first, repeated string // Headers of the refusal and of its repetition.
+		wantStatus      int    // Of the second request; 0: it may have run.
 	}{
-		"with the id of the earlier request": {"Id: 1\r\n", nil},
-		"without an id":                      {"", ErrWrongResponse},
+		"with the id of the earlier request": {"Id: 1\r\n", "Id: 1\r\n", http.StatusOK},
+		"without an id":                      {"Id: 1\r\n", "", 0},
+		"never with an id":                   {"", "", http.StatusOK}, // On a connection of its own.
 	} {
 		address, _ := serve(t, func(c net.Conn, r *http.Request, n int) bool {
-			if n == 1 {
-				return write(c, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\nId: 1\r\n\r\n")
+			if r.Header.Get("Id") == "1" {
+				return write(c, refusal+tc.first+"\r\n")
 			}
-			return write(c, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"+tc.repeated+"\r\n"+
-				"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nId: 2\r\n\r\nown")
+			repeated := ""
+			if n > 1 {
+				repeated = refusal + tc.repeated + "\r\n"
+			}
+			return write(c, repeated+"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nId: 2\r\n\r\nown")
 		})
 		p := NewPool()
 		do := func(id string) (*Response, error) {
@@ -182,18 +188,55 @@
 			t.Fatal(name, err)
 		}
 		second, err := do("2")
-		if tc.wantErr != nil {
-			if !errors.Is(err, tc.wantErr) || !errors.Is(err, ErrConnectionBroken) {
-				t.Errorf("%s: second response %+v, error %v; want %v, so that the request may have run", name, second, err, tc.wantErr)
+		if tc.wantStatus == 0 {
+			if !errors.Is(err, ErrWrongResponse) || !errors.Is(err, ErrConnectionBroken) {
+				t.Errorf("%s: second response %+v, error %v; want %v, so that the request may have run", name, second, err, ErrWrongResponse)
 			}
 			continue
 		}
-		if err != nil || second.Status != http.StatusOK {
+		if err != nil || second.Status != tc.wantStatus {
 			t.Errorf("%s: second response %+v, error %v; want its own", name, second, err)
 		}
 	}
 }
 
+// An endpoint leaves the id out of its refusals and names requests in other responses. At most the first refusal on a
+// connection in use is in doubt; after it, requests have connections of their own, and refusals prove that they did not run.
+func TestUnnamedRefusalOnOwnConnectionIsProof(t *testing.T) {
+	address, _ := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+		id := r.Header.Get("Id")
+		if id == "refuse" {
+			return write(c, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+		return write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: "+id+"\r\n\r\nok")
+	})
+	p := NewPool()
+	inDoubt := 0
+	for n := range 20 {
+		id := fmt.Sprint(n)
+		if n%2 == 1 {
+			id = "refuse"
+		}
+		q := newRequest(id)
+		q.MatchResponse = matchID(id)
+		r, err := p.Do(t.Context(), address, q, 0)
+		if err != nil {
+			inDoubt++
+			continue
+		}
+		if _, err := readBody(t, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if inDoubt > 1 {
+		t.Errorf("%d of 10 refusals proved nothing, want at most 1", inDoubt)
+	}
+	p.CloseExpired(time.Now().Add(unnamedRetention))
+	if p.sendsUnnamed(address, time.Now()) {
+		t.Error("the address is still remembered after the retention")
+	}
+}
+
 func TestTruncatedResponseIsReportedBroken(t *testing.T) {
 	for name, text := range map[string]string{
 		"shorter than its length": "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
