--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,8 @@
 	"math"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -134,6 +136,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if holdsStatusLine(resp) {
+			return nil, errMergedHeads
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -161,6 +166,26 @@
 	}
 }
 
+// errMergedHeads reports a head that begins as one response and goes on as another.
+const errMergedHeads = errors.ConstError("malformed response: the head holds another status line")
+
+// statusLine matches the beginning of a response.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9]{2}`)
+
+// holdsStatusLine reports whether a status line was read as part of a response's reason or headers. This happens where
+// a response follows the first bytes of another one: the status is that of the former, the id that of the latter.
+func holdsStatusLine(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // Limits of the responses of earlier requests that an exchange skips before its
 // own response. An endpoint sends at most a few of them.
 const (
