--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -137,7 +137,9 @@
 		}
 		return true
 	case resultFailed:
-		*failure = resp
+		if resp != nil {
+			*failure = resp
+		}
 		return false
 	case resultCancelled:
 		r.finishLate(q)
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -22,7 +22,7 @@
 const (
 	resultUnreached result = iota // No byte was sent.
 	resultNotRun                  // The endpoint proved that it did not run the request.
-	resultFailed                  // The endpoint ran the request and responded with a failure.
+	resultFailed                  // The endpoint may have run the request and responded with a failure.
 	resultBroken                  // The endpoint may have run the request; there is no complete response.
 	resultResponded               // The response is complete, or a stream has started.
 	resultCancelled               // The caller disconnected or the deadline passed.
@@ -145,6 +145,9 @@
 	switch {
 	case head.NotExecuted:
 		return resultNotRun, resp
+	case promisesNotRun(upResp.Status):
+		q.addEvidence(resp.from.endpoint.ID, strconv.Itoa(upResp.Status)+"_unproven")
+		return resultFailed, nil // Passed on, the status would promise what the endpoint does not state.
 	case upResp.Status >= http.StatusInternalServerError:
 		return resultFailed, resp
 	default:
