--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -43,9 +43,18 @@
 		// so the connection serves no further request.
 		w.Header().Set("Connection", "close")
 	}
-	if !r.admit(q) {
-		return
+	if r.admit(q) {
+		r.forward(q)
+	}
+	if !q.ended {
+		// If the handler returned, net/http would end the response as complete, and a caller that has only closed its
+		// sending side would receive an empty success or a truncated stream.
+		panic(http.ErrAbortHandler)
 	}
+}
+
+// forward sends an admitted request to endpoints until its deadline.
+func (r *Router) forward(q *request) {
 	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
 	defer cancel()
 	q.ctx = ctx
--- a/internal/router/refuse.go
+++ b/internal/router/refuse.go
@@ -40,6 +40,7 @@
 	q.trace.status = f.Status
 	platform.SetRequestID(q.w.Header(), q.call.RequestID)
 	f.Write(q.w)
+	q.ended = true
 	if f.Ran == refusal.RanNo {
 		r.returnQuota(q)
 	}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -34,6 +34,7 @@
 	delivered    int                         // Sends that reached an endpoint.
 	possibleRuns int                         // Sends that the endpoint may have run.
 	headerSent   bool                        // The response header has been sent to the caller.
+	ended        bool                        // The response has been written to its end.
 	events       int                         // Events sent to the caller.
 	lastEventAt  time.Time                   // When the last event was sent to the caller.
 	lastEventID  string                      // ID of the last event sent to the caller.
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -198,5 +198,7 @@
 	q.w.WriteHeader(resp.status)
 	if _, err := q.w.Write(resp.body); err != nil {
 		q.trace.outcome = "caller_left"
+		return
 	}
+	q.ended = true
 }
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -169,6 +169,7 @@
 // endStream records the end of a complete stream.
 func (r *Router) endStream(q *request, resp *response) {
 	r.writeStreamHeader(q, resp)
+	q.ended = true
 	q.trace.outcome = "answered"
 	r.streamLengths.record(q.route.Name, q.events)
 }
