--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -57,6 +57,7 @@
 func (r *Router) forward(q *request) {
 	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
 	defer cancel()
+	defer context.AfterFunc(r.stopper.ctx, cancel)()
 	q.ctx = ctx
 	if q.service.Engine != nil && q.call.Adapter.Model != "" {
 		r.run(q, r.engineStrategy())
@@ -89,7 +90,7 @@
 		r.refuse(q, refusal.CodeNoEndpoint, "The route's service is not configured.", notReadyRetryAfter)
 		return false
 	}
-	return r.readBody(q) && r.bindResumedStream(q) && r.checkQuarantine(q) && r.checkParts(q) && r.takeQuota(q)
+	return r.readBody(q) && r.checkStop(q) && r.bindResumedStream(q) && r.checkQuarantine(q) && r.checkParts(q) && r.takeQuota(q)
 }
 
 // hostOnly returns the host without its port.
@@ -237,6 +238,7 @@
 	if q.trace.outcome == "answered" && q.trace.status < http.StatusMultipleChoices {
 		r.crashTracker.recordSuccess(q.fingerprint)
 		r.parts.recordFinish(q.sharedParts())
+		r.stopper.record(q.route.Name, took, time.Now())
 	}
 	if len(q.trial) > 0 && !q.trace.broken { // After a broken attempt, checkCrash ends the trial.
 		r.parts.endTrial(q.trial)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,14 +42,7 @@
 	// headerTimeout bounds the time to receive a request header.
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
-	// drainAcceptDuration is how long a draining router still accepts requests. The load
-	// balancer checks each second and stops sending requests after two failed checks. A
-	// request that arrives later than 3 s after the signal would have to finish within the
-	// grace period.
-	drainAcceptDuration = 2600 * time.Millisecond
-	// drainMargin is the part of the grace period reserved for the exit of the process.
-	drainMargin   = 300 * time.Millisecond
-	sweepInterval = time.Second
+	sweepInterval  = time.Second
 	// baseGrace bounds the shutdown of the services under the base supervisor.
 	baseGrace = time.Second
 )
@@ -73,6 +66,7 @@
 	streamOrigins   *streamOrigins
 	budgets         *retryBudgets
 	streamLengths   *streamLengths
+	stopper         *stopper
 	routing         routing.Config
 	counters        *Counters
 	metrics         *process.Metrics
@@ -87,7 +81,7 @@
 	metrics := process.NewMetrics()
 	r := &Router{
 		settings: s, log: log, pool: upstream.NewPool(), endpointTracker: newEndpointTracker(),
-		streamLengths: newStreamLengths(), routing: routing.DefaultConfig(), metrics: metrics,
+		streamLengths: newStreamLengths(), stopper: newStopper(s.ShutdownGrace), routing: routing.DefaultConfig(), metrics: metrics,
 		counters: NewCounters(metrics.Scope.SubScope("router")), state: catalog.NewState(),
 		store: platform.NewStoreClient(s.StoreAddress),
 	}
@@ -164,7 +158,7 @@
 	base.Add(r.peers)
 	base.Add(service{"sync", r.syncLoop})
 	base.Add(service{"crash records", r.crashRecords.run})
-	frontGrace := max(r.settings.ShutdownGrace-drainAcceptDuration-drainMargin, time.Second)
+	frontGrace := r.settings.ShutdownGrace - r.stopper.acceptDuration() - drainMargin
 	front := process.NewSupervisor("front", r.log, frontGrace)
 	registration := platform.RouterRegistration{
 		VM: r.settings.VM, Address: r.settings.PeersAddress, FailureDomain: r.settings.FailureDomain,
@@ -225,15 +219,16 @@
 
 // drain fails the readiness check, deregisters the router and keeps accepting requests until
 // the load balancer has stopped sending them. The front supervisor then stops accepting
-// requests and lets running ones finish.
+// requests and lets running ones finish; the stopper ends them before the grace period does.
 func (r *Router) drain(deregister func()) {
 	r.draining.Store(true)
+	r.stopper.begin(time.Now())
 	r.peers.Leave()
 	r.changes.Close()
 	deregister()
 	r.log.WithField("event", "drain").WithField("in_flight", r.inFlight.Load()).Info("draining")
 	// The context of the process has already ended.
-	_ = sleep.For(context.Background(), drainAcceptDuration)
+	_ = sleep.For(context.Background(), r.stopper.acceptDuration())
 	r.log.WithField("event", "drain_closed").WithField("in_flight", r.inFlight.Load()).
 		Info("draining router stops accepting requests")
 }
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -222,7 +222,7 @@
 	r.refuse(q, refusal.CodeNoEndpoint, "No endpoint took the request.", noEndpointRetryAfter)
 }
 
-// finishLate ends a request whose deadline has passed or whose caller has disconnected. A
+// finishLate ends a request whose deadline has passed, whose router stops or whose caller has disconnected. A
 // disconnected caller gets no response.
 func (r *Router) finishLate(q *request) {
 	if q.in.Context().Err() != nil {
@@ -235,6 +235,10 @@
 		}
 		return
 	}
+	if r.stopper.stopped() {
+		r.refuse(q, refusal.CodeDraining, "The router stops before the request has ended.", minRetryAfter)
+		return
+	}
 	if q.possibleRuns > 0 {
 		r.refuse(q, refusal.CodeDeadlineExceeded, "The deadline passed; the request may have run.", 0)
 		return
