--- a/internal/upstream/merged_test.go
+++ b/internal/upstream/merged_test.go
@@ -64,3 +64,27 @@
 		})
 	}
 }
+
+// An endpoint stops at any byte of a response's head and closes the connection. This is no response, also if what arrived
+// reads as one without a length.
+func TestHeadThatStopsIsNoResponse(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nId: 1\r\nResponse-Seal: s1\r\nContent-Length: 4\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nResponse-Seal: s1\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nId: 1\r\n\r\n",
+	} {
+		for cut := range len(head) {
+			address, _ := serve(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				write(c, head[:cut])
+				return false
+			})
+			q := newRequest("1")
+			q.MatchResponse = matchID("1")
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			if r, err := NewPool().Do(ctx, address, q, 0); err == nil || errors.Is(err, ErrNotSent) {
+				t.Errorf("head %q: response %+v, error %v; want an error that leaves open whether the request ran", head[:cut], r, err)
+			}
+			cancel()
+		}
+	}
+}
