--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -100,6 +100,37 @@
 	}
 }
 
+// The store carries out a heartbeat after a later one of the same incarnation, because its call got no response. An endpoint that
+// has started to drain, or that has left, must not be used again because of it.
+func TestLateHeartbeatIsIgnored(t *testing.T) {
+	registration := func(incarnation, heartbeat int64, draining bool) *Endpoint {
+		return &Endpoint{ID: "e", Service: "s", Incarnation: incarnation, Heartbeat: heartbeat, Draining: draining}
+	}
+	for name, tc := range map[string]struct {
+		late    *Endpoint
+		removed bool
+		want    *Endpoint
+	}{
+		"older heartbeat":              {registration(5, 6, false), false, registration(5, 7, true)},
+		"same heartbeat":               {registration(5, 7, true), false, registration(5, 7, true)},
+		"newer heartbeat":              {registration(5, 8, false), false, registration(5, 8, false)},
+		"newer incarnation":            {registration(6, 1, false), false, registration(6, 1, false)},
+		"removed, older heartbeat":     {registration(5, 6, false), true, nil},
+		"removed, back with its entry": {registration(5, 7, true), true, registration(5, 7, true)},
+	} {
+		s := NewState()
+		s.SetEndpoint(registration(5, 7, true))
+		if tc.removed {
+			s.RemoveEndpoint("e", time.Unix(1000, 0))
+		}
+		s.SetEndpoint(tc.late)
+		got := s.View().FindEndpoint("s", "e")
+		if got == nil != (tc.want == nil) || got != nil && *got != *tc.want {
+			t.Errorf("%s: endpoint = %+v, want %+v", name, got, tc.want)
+		}
+	}
+}
+
 // A registration in a restored store counts only if it is newer than the last known one, also
 // if the endpoint has been removed since.
 func TestRestoredRegistrationMustBeNewer(t *testing.T) {
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -147,10 +147,14 @@
 }
 
 // SetEndpoint adds or updates an endpoint and reports whether anything but its heartbeat
-// changed.
+// changed. It ignores an older registration of the same incarnation: a store may carry out a
+// heartbeat that got no response after a later one.
 func (s *State) SetEndpoint(e *Endpoint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if known := s.latest[e.ID]; known != nil && known.Incarnation == e.Incarnation && known.isNewerThan(e) {
+		return false
+	}
 	return s.setEndpoint(e)
 }
 
