--- a/internal/policy/availability/availability.go
+++ b/internal/policy/availability/availability.go
@@ -22,9 +22,11 @@
 }
 
 // State is the availability of one endpoint. Responses may arrive in any order, also late ones of a
-// former incarnation. The zero value is an endpoint that has said nothing.
+// former incarnation. They are attributed to the registered incarnation, which may be a former one: an endpoint
+// that has started again under its ID responds before its registration is read. The zero value is an endpoint that
+// has said nothing.
 type State struct {
-	incarnation int64 // Latest incarnation that said something.
+	incarnation int64 // Latest incarnation that signals were attributed to; its start in Unix milliseconds.
 	draining    bool
 	until       time.Time // The endpoint wants no requests before this time.
 	observedAt  time.Time // Last signal.
@@ -42,7 +44,8 @@
 		return Change{}
 	}
 	if incarnation > s.incarnation {
-		*s = State{incarnation: incarnation}
+		until := s.pushbackOf(incarnation)
+		*s = State{incarnation: incarnation, until: until}
 	}
 	s.observedAt = now
 	change := Change{
@@ -61,12 +64,23 @@
 	return incarnation < s.incarnation || incarnation == s.incarnation && s.draining
 }
 
+// maxClockSkew is the largest difference between the clocks of an endpoint and of this process for which a Retry-After
+// is attributed to the right incarnation.
+const maxClockSkew = 500 * time.Millisecond
+
+// pushbackOf returns until when an incarnation wants no requests. A signal that was attributed to a former incarnation may
+// have come from a later one that had started by then. Only the Retry-After counts for it: that ends by itself.
+func (s *State) pushbackOf(incarnation int64) time.Time {
+	started := time.UnixMilli(incarnation)
+	if incarnation < s.incarnation || incarnation > s.incarnation && started.After(s.observedAt.Add(maxClockSkew)) {
+		return time.Time{}
+	}
+	return s.until
+}
+
 // Wait returns how long an incarnation wants no requests.
 func (s *State) Wait(incarnation int64, now time.Time) time.Duration {
-	if incarnation != s.incarnation {
-		return 0
-	}
-	return max(s.until.Sub(now), 0)
+	return max(s.pushbackOf(incarnation).Sub(now), 0)
 }
 
 // IsExpired reports whether the state has not changed for retention and no longer matters.
