--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -31,8 +31,15 @@
 // resultNames are the names of the results in the log.
 var resultNames = [...]string{"unreached", "not_run", "failed", "broken", "answered", "left"}
 
-// maxBufferedBytes bounds a response that is read completely before it is forwarded.
-const maxBufferedBytes = 8 << 20
+const (
+	// maxBufferedBytes bounds a response that is read completely before it is forwarded.
+	maxBufferedBytes = 8 << 20
+	// maxFailureBytes bounds the same for a failure, whose body is a short text. Bodies that never end would otherwise
+	// add up to maxBufferedBytes for each request that waits for one.
+	maxFailureBytes = 256 << 10
+	// failureBodyTimeout bounds the time to read it, so that an idempotent request has time left for another endpoint.
+	failureBodyTimeout = time.Second
+)
 
 // response is an endpoint's response. Its body is complete unless it is a stream.
 type response struct {
@@ -130,9 +137,14 @@
 // readResponse reads the whole response before any of it is forwarded, so that a truncated
 // response is never passed on as complete.
 func (q *request) readResponse(upResp *upstream.Response, resp *response, head platform.ResponseHead) (result, *response) {
-	body, err := io.ReadAll(io.LimitReader(upResp.Body, maxBufferedBytes+1))
-	upResp.Close(err == nil && len(body) <= maxBufferedBytes)
-	if err != nil || len(body) > maxBufferedBytes {
+	maxBytes := maxBufferedBytes
+	if upResp.Status >= http.StatusBadRequest {
+		maxBytes = maxFailureBytes
+		upResp.LimitBodyTime(failureBodyTimeout)
+	}
+	body, err := io.ReadAll(io.LimitReader(upResp.Body, int64(maxBytes)+1))
+	upResp.Close(err == nil && len(body) <= maxBytes)
+	if err != nil || len(body) > maxBytes {
 		if head.NotExecuted {
 			return resultNotRun, nil
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -251,6 +251,11 @@
 // connection, which also ends if the endpoint crashes.
 func (r *Response) SelfDelimited() bool { return selfDelimited(r.exchange.resp) }
 
+// LimitBodyTime bounds the time until the body has been read to its end.
+func (r *Response) LimitBodyTime(d time.Duration) {
+	_ = r.exchange.conn.SetReadDeadline(time.Now().Add(d)) // If it fails, the next read fails too.
+}
+
 // Close ends the exchange. The connection returns to the pool only if keep is
 // true, the caller's context has not ended, the body was read to its end and
 // reusable returns true. keep means that the response belongs to the request.
