--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -83,7 +83,7 @@
 	}
 	x := &exchange{pool: p, address: address, conn: c, sent: make(chan struct{})}
 	c.requests++
-	x.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.stopWatch = context.AfterFunc(ctx, c.abort)
 	x.startSend(r)
 	if silence > 0 {
 		_ = c.SetReadDeadline(time.Now().Add(silence)) // If it fails, the next read fails too.
@@ -215,7 +215,7 @@
 // request may have run.
 func (x *exchange) fail(err error) error {
 	x.stopWatch()
-	_ = x.conn.Close()
+	x.conn.abort()
 	<-x.sent
 	if !x.anySent {
 		return errors.WithType(err, ErrNotSent)
@@ -263,7 +263,11 @@
 	x := r.exchange
 	x.closeOnce.Do(func() {
 		contextAlive := x.stopWatch()
-		if !keep || !contextAlive || !x.bodyComplete || !x.reusable() {
+		if !x.bodyComplete {
+			x.conn.abort()
+			return
+		}
+		if !keep || !contextAlive || !x.reusable() {
 			_ = x.conn.Close()
 			return
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -241,6 +241,15 @@
 	return err == nil && reusable
 }
 
+// abort closes a connection whose request is given up, with a reset. After a regular close the endpoint's next write would
+// still succeed, and an endpoint that notices the close by a failed write would go on with the request until the one after.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // If it fails, the close is a regular one.
+	}
+	_ = c.Close()
+}
+
 // updateIdleTimeout applies the timeout of a response's Keep-Alive header.
 func (c *conn) updateIdleTimeout(h http.Header) {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
