--- a/internal/policy/grants/machine.go
+++ b/internal/policy/grants/machine.go
@@ -77,6 +77,8 @@
 	meanRunTime   time.Duration // Moving average.
 	outstanding   *Order
 	unconfirmed   *Order // The last order, if its outcome is unknown. It is repeated before any other.
+	// outdatedReport is set while the last report was older than the machine's state.
+	outdatedReport bool
 	noOrderBefore time.Time
 	pausedUntil   time.Time // The engine wants no orders before.
 	lastModelLoad time.Time
@@ -179,9 +181,16 @@
 // ApplyReport applies a report. The caller must have requested the report while no
 // order was outstanding.
 func (m *Machine) ApplyReport(r Report, now time.Time) {
+	if r.Incarnation == m.incarnation && r.Sequence < m.sequence && !m.outdatedReport {
+		// Within an incarnation the sequence only rises, so this is the response to an earlier call. If the next report
+		// is no newer, the engine has started again without a new incarnation.
+		m.outdatedReport, m.needsReport = true, true
+		return
+	}
 	if r.Incarnation != m.incarnation || r.Sequence < m.sequence {
 		m.resetIncarnation(r)
 	}
+	m.outdatedReport = false
 	m.alive, m.needsReport = true, false
 	if m.unconfirmed != nil && r.Sequence > m.unconfirmed.Sequence {
 		m.unconfirmed = nil
--- a/internal/policy/grants/machine_test.go
+++ b/internal/policy/grants/machine_test.go
@@ -317,6 +317,34 @@
 	}
 }
 
+// A report that arrived on a connection of its engine once more, for a later call, is older than the accepted orders. It must
+// not be taken for a restart, which would forget the resident adapters and the active grants.
+func TestEarlierReportIsNoRestart(t *testing.T) {
+	m := newTestMachine(3)
+	r := Report{Incarnation: 7, Models: []string{"base"}}
+	m.ApplyReport(r, at(0))
+	m.RequestGrant(Request{ID: 1, Key: adapterKey(1), PromptTokens: 100, MaxOutputTokens: 10, MaxWait: time.Minute}, at(0))
+	earlier := r
+	carryOutOrders(t, m, adapterKey(1), &r, at(10))
+	if !decisions(m)[1].Granted {
+		t.Fatal("request 1 is not granted")
+	}
+	m.ApplyReport(earlier, at(20))
+	if !m.NeedsReportSoon() {
+		t.Error("no report is fetched after an outdated one")
+	}
+	m.ApplyReport(r, at(30))
+	m.RequestGrant(Request{ID: 2, Key: adapterKey(1), PromptTokens: 100, MaxOutputTokens: 10, MaxWait: time.Minute}, at(30))
+	if got := len(m.grants); got != 2 {
+		t.Errorf("active grants = %d, want both: the first one is kept", got)
+	}
+	m.ApplyReport(earlier, at(40))
+	m.ApplyReport(earlier, at(50))
+	if got := len(m.grants); got != 0 {
+		t.Errorf("active grants = %d after two reports of a lower sequence, want none: the engine has started again", got)
+	}
+}
+
 // A new incarnation has no adapters, and the order sequence restarts at 0.
 func TestNewIncarnationResetsAdaptersAndSequence(t *testing.T) {
 	m, r := newTestMachine(2), emptyReport()
