--- a/internal/policy/grants/machine.go
+++ b/internal/policy/grants/machine.go
@@ -74,16 +74,20 @@
 	demands          demands
 	rate             ratelimit.Limiter // Counts the grants of this incarnation.
 
-	meanRunTime   time.Duration // Moving average.
-	outstanding   *Order
-	unconfirmed   *Order // The last order, if its outcome is unknown. It is repeated before any other.
+	meanRunTime time.Duration // Moving average.
+	outstanding *Order
+	unconfirmed *Order // The last order, if its outcome is unknown. It is repeated before any other.
+	// unknownLoads are the recent loads whose outcome was unknown at first. The engine may still carry them out, also in a
+	// later incarnation, as long as its sequence is not beyond theirs.
+	unknownLoads []unknownLoad
+	lateLoads    []unknownLoad // Loads of former incarnations that the engine may still carry out.
 	// outdatedReport is set while the last report was older than the machine's state.
 	outdatedReport bool
-	noOrderBefore time.Time
-	pausedUntil   time.Time // The engine wants no orders before.
-	lastModelLoad time.Time
-	needsReport   bool // No order is issued before the next report.
-	decisions     []Decision
+	noOrderBefore  time.Time
+	pausedUntil    time.Time // The engine wants no orders before.
+	lastModelLoad  time.Time
+	needsReport    bool // No order is issued before the next report.
+	decisions      []Decision
 }
 
 // New returns a Machine for an engine that has not reported yet.
@@ -188,6 +192,7 @@
 		return
 	}
 	if r.Incarnation != m.incarnation || r.Sequence < m.sequence {
+		m.lateLoads, m.unknownLoads = append(m.lateLoads, m.unknownLoads...), nil
 		m.resetIncarnation(r)
 	}
 	m.outdatedReport = false
@@ -246,6 +251,30 @@
 // HasPrefillBacklog reports whether prefills are pending or requests are queued.
 func (m *Machine) HasPrefillBacklog() bool { return len(m.prefills.pending) > 0 || len(m.queue) > 0 }
 
+// unknownLoad is a load whose outcome was unknown at a time.
+type unknownLoad struct {
+	sequence int64
+	at       time.Time
+}
+
+// recordUnknownLoad records a load whose outcome is unknown.
+func (m *Machine) recordUnknownLoad(o Order, now time.Time) {
+	m.unknownLoads = slices.DeleteFunc(m.unknownLoads, func(l unknownLoad) bool {
+		return l.sequence == o.Sequence || now.Sub(l.at) > m.config.LateOrderPeriod
+	})
+	m.unknownLoads = append(m.unknownLoads, unknownLoad{o.Sequence, now})
+}
+
+// reservedSlots returns how many adapter slots are kept free for loads of former incarnations. After a restart the engine
+// starts to count its orders again, and carries such a load out when it reaches the load's sequence. That raises the sequence, so
+// that the machine's next order is rejected and a report shows the load. One slot stays in use at least.
+func (m *Machine) reservedSlots(now time.Time) int {
+	m.lateLoads = slices.DeleteFunc(m.lateLoads, func(l unknownLoad) bool {
+		return l.sequence < m.sequence || now.Sub(l.at) > m.config.LateOrderPeriod
+	})
+	return min(len(m.lateLoads), max(m.limits.AdapterSlots-1, 0))
+}
+
 // resetIncarnation discards the state of the former incarnation. The holders of
 // its grants still release them.
 func (m *Machine) resetIncarnation(r Report) {
--- a/internal/policy/grants/orders.go
+++ b/internal/policy/grants/orders.go
@@ -60,6 +60,9 @@
 		// only the copy that arrives first.
 		m.unconfirmed = o
 		m.needsReport = true
+		if !o.Unload {
+			m.recordUnknownLoad(*o, now)
+		}
 	default:
 		m.needsReport = true
 		m.noOrderBefore = now.Add(rejectedOrderDelay)
@@ -155,7 +158,7 @@
 		if key.Adapter == "" || m.adapters[key] != nil || !slices.Contains(m.models, key.Model) {
 			continue
 		}
-		if m.adapterFits() {
+		if m.adapterFits(now) {
 			return Order{Key: key, Version: m.announced[key]}, true
 		}
 		if victim, ok := m.victim(); ok {
@@ -174,7 +177,7 @@
 			delete(m.reloads, key)
 			continue
 		}
-		if m.adapterFits() {
+		if m.adapterFits(now) {
 			return Order{Key: key, Version: m.announced[key]}, true
 		}
 	}
@@ -183,8 +186,8 @@
 
 // adapterFits reports whether an adapter slot is free and the weights memory
 // holds one more adapter.
-func (m *Machine) adapterFits() bool {
-	if len(m.adapters) >= m.limits.AdapterSlots {
+func (m *Machine) adapterFits(now time.Time) bool {
+	if len(m.adapters)+m.reservedSlots(now) >= m.limits.AdapterSlots {
 		return false
 	}
 	freeMB, adapterMB := m.limits.WeightsMB, 0.0
--- a/internal/policy/grants/types.go
+++ b/internal/policy/grants/types.go
@@ -132,6 +132,7 @@
 	MinAcceptedWait      time.Duration // Expected wait up to which a request is always accepted.
 	LatencyTargetFactor  float64       // A request is accepted if its first event is expected within this multiple of the target.
 	MaxLoadingAdapters   int           // Adapters that load on one engine concurrently.
+	LateOrderPeriod      time.Duration // Time for which an engine may carry out an order after the call has failed.
 	FormerVersionPeriod  time.Duration // Time after an announcement during which the former version is granted.
 	MinModelLoadInterval time.Duration // Minimum time between two model loads.
 	ReloadWindow         time.Duration // An adapter used within this time is reloaded after its former version is unloaded.
@@ -156,6 +157,7 @@
 		// The platform lets requests start on the former version until 5 s after
 		// the announcement. The difference covers the propagation of the
 		// announcement and clock skew.
+		LateOrderPeriod:     10 * time.Second, // The platform says "seconds".
 		FormerVersionPeriod: 2500 * time.Millisecond,
 		// The weight store allows about one model load per engine in 5 s.
 		MinModelLoadInterval: 5 * time.Second,
