--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -157,7 +157,7 @@
 	switch {
 	case head.NotExecuted:
 		return resultNotRun, resp
-	case promisesNotRun(upResp.Status):
+	case promisesNotRun(upResp.Status) && !q.route.Idempotent():
 		q.addEvidence(resp.from.endpoint.ID, strconv.Itoa(upResp.Status)+"_unproven")
 		return resultFailed, nil // Passed on, the status would promise what the endpoint does not state.
 	case upResp.Status >= http.StatusInternalServerError:
