--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -150,15 +150,18 @@
 		return attemptResult{result: refusedResult(refuseInvalidResponse()), kind: retry.KindFailed}
 	}
 	if resp.Header.Get(refusal.HeaderRan) != "" {
-		return a.readRefusal(resp)
+		return readRefusal(ctx, resp)
 	}
 	a.observe(OutcomeResponseStarted)
 	return a.forward(ctx, resp)
 }
 
 // readRefusal parses the agent's refusal from resp.
-func (a *attempt) readRefusal(resp *http.Response) attemptResult {
-	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+func readRefusal(ctx context.Context, resp *http.Response) attemptResult {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+	if err != nil {
+		return attemptResult{result: refusedResult(refuseNoResponse(ctx)), kind: retry.KindFailed}
+	}
 	r, ok := refusal.Parse(resp.StatusCode, resp.Header, data)
 	if !ok {
 		return attemptResult{result: refusedResult(refuseInvalidResponse()), kind: retry.KindFailed}
