--- a/internal/agent/intake/refusals.go
+++ b/internal/agent/intake/refusals.go
@@ -77,6 +77,11 @@
 		"the endpoint's answer belonged to another request")
 }
 
+func deadlineExceededMidway() *refusal.Refusal {
+	return refusal.New(refusal.CodeDeadlineExceeded, refusal.RanYes,
+		"the deadline passed before the endpoint's answer was whole")
+}
+
 func brokenResponse() *refusal.Refusal {
 	return refusal.New(refusal.CodeBrokenResponse, refusal.RanYes,
 		"the endpoint's answer ended before it was whole")
--- a/internal/agent/intake/response.go
+++ b/internal/agent/intake/response.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/url"
 
+	"github.com/juju/errors"
+
 	"github.com/hyssoptiller/hyssoptiller/internal/clients/engine"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/timeline"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/wire"
@@ -84,6 +86,10 @@
 // for a model, is not valid JSON.
 func (a *attempt) refuseBroken(ctx context.Context) {
 	a.h.broken.Inc(1)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		a.refuse(deadlineExceededMidway())
+		return
+	}
 	if ctx.Err() == nil && a.endpointCrashed(ctx) {
 		a.w.Header().Set(wire.HeaderCrashed, "true")
 	}
--- a/internal/entry/dispatch/attempt.go
+++ b/internal/entry/dispatch/attempt.go
@@ -28,6 +28,15 @@
 // can be retried on another endpoint.
 const acceptTimeout = 2 * time.Second
 
+// deadlineMargin is how much earlier than its entry an agent gives an attempt up, at most a twentieth of its time. The agent
+// knows whether the request ran, and its refusal arrives before the entry stops waiting.
+const deadlineMargin = 50 * time.Millisecond
+
+// agentTimeout returns the timeout of an attempt on an agent if left is the time until the caller's deadline.
+func agentTimeout(left time.Duration) time.Duration {
+	return left - min(deadlineMargin, left/20)
+}
+
 // attempt is one attempt to run a request on one agent.
 type attempt struct {
 	d    *Dispatcher
@@ -45,7 +54,7 @@
 func (d *Dispatcher) runAttempt(ctx context.Context, req Request, vm vmlist.VM, w http.ResponseWriter) attemptResult {
 	a := &attempt{d: d, req: req, job: req.Job, vm: vm, w: w, sent: time.Now()}
 	a.job.AttemptID = ident.NewAttemptID()
-	a.job.Timeout = time.Until(req.Deadline)
+	a.job.Timeout = agentTimeout(time.Until(req.Deadline))
 	a.job.Deadline = req.Deadline
 	d.metrics.attempts.Inc(1)
 	a.record(timeline.KindRequestSent)
