router: log and count refusals on a connection or at an address that had the request before

A request may come to one address twice, under two ids of the endpoint there, and on one kept connection. The evidence of its line and the metric of refusals did not tell such an attempt from others. No decision uses it yet.

--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -62,8 +62,10 @@
 }
 
 // recordRefusal counts a response in which an endpoint states that it did not run the request.
-func (c *Counters) recordRefusal(resp *upstream.Response) {
-	tags := map[string]string{"named": strconv.FormatBool(resp.Named), "reused": strconv.FormatBool(resp.Reused)}
+func (c *Counters) recordRefusal(resp *upstream.Response, earlier earlierAttempt) {
+	tags := map[string]string{
+		"named": strconv.FormatBool(resp.Named), "reused": strconv.FormatBool(resp.Reused), "same": string(earlier),
+	}
 	c.scope.Tagged(tags).Counter("endpoint_refusals_total").Inc(1)
 }
 
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -31,7 +31,7 @@
 func (r *Router) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	q := &request{
 		w: w, in: in, arrived: time.Now(), config: r.state.View().Config, call: platform.ParseRequestHeader(in.Header),
-		tried: make(map[catalog.EndpointID]bool),
+		tried: make(map[catalog.EndpointID]bool), reached: make(map[string]bool),
 	}
 	q.configAge = q.arrived.Sub(r.changes.Log(relay.TopicOperator).ConfirmedAt())
 	q.ctx = in.Context()
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -32,6 +32,7 @@
 
 	tried        map[catalog.EndpointID]bool // Endpoints that are not tried again.
 	delivered    int                         // Sends that reached an endpoint.
+	reached      map[string]bool             // Addresses of these endpoints; several endpoints may be registered at one.
 	possibleRuns int                         // Sends that the endpoint may have run.
 	headerSent   bool                        // The response header has been sent to the caller.
 	ended        bool                        // The response has been written to its end.
@@ -85,8 +86,36 @@
 	}
 }
 
+// recordDelivery records that an attempt reached an address.
+func (q *request) recordDelivery(address string) {
+	q.delivered++
+	q.reached[address] = true
+}
+
+// earlierAttempt is what an attempt shares with an earlier one of the same request, whose response names the same id.
+type earlierAttempt string
+
+// Values of earlierAttempt.
+const (
+	earlierNone       earlierAttempt = "none"
+	earlierAddress    earlierAttempt = "address"
+	earlierConnection earlierAttempt = "connection"
+)
+
+// earlierAttemptAt returns what the attempt that brought resp shares with an earlier one. Call it before recordDelivery.
+func (q *request) earlierAttemptAt(address string, resp *upstream.Response) earlierAttempt {
+	switch {
+	case resp.SameID:
+		return earlierConnection
+	case q.reached[address]:
+		return earlierAddress
+	default:
+		return earlierNone
+	}
+}
+
 // addRefusalEvidence records the response in which an endpoint states that it did not run an attempt.
-func (q *request) addRefusalEvidence(id catalog.EndpointID, resp *upstream.Response) {
+func (q *request) addRefusalEvidence(id catalog.EndpointID, resp *upstream.Response, earlier earlierAttempt) {
 	evidence := strconv.Itoa(resp.Status)
 	if !resp.Named {
 		evidence += "_unnamed"
@@ -94,6 +123,9 @@
 	if resp.Reused {
 		evidence += "_reused"
 	}
+	if earlier != earlierNone {
+		evidence += "_same_" + string(earlier)
+	}
 	q.addEvidence(id, evidence)
 }
 
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -55,15 +55,16 @@
 func (r *Router) send(q *request, p *placement, silenceLimit time.Duration) (result, *response) {
 	endpoint := p.endpoint
 	upReq := &upstream.Request{
-		Method: q.in.Method, URI: requestURI(q.in), Host: q.in.Host, Header: q.endpointHeader(endpoint.ID, p.adapterVersion()),
+		ID: q.call.RequestID, Method: q.in.Method, URI: requestURI(q.in), Host: q.in.Host, Header: q.endpointHeader(endpoint.ID, p.adapterVersion()),
 		Body: q.body, NonIdempotent: !q.route.Idempotent(), MatchResponse: q.matchResponse,
 	}
 	upResp, err := r.pool.Do(q.ctx, endpoint.Address, upReq, silenceLimit)
 	if err != nil {
 		q.addEvidence(endpoint.ID, evidenceOf(err))
-		return q.sendFailed(err), nil
+		return q.sendFailed(endpoint.Address, err), nil
 	}
-	q.delivered++
+	earlier := q.earlierAttemptAt(endpoint.Address, upResp)
+	q.recordDelivery(endpoint.Address)
 	head := platform.ParseResponseHead(upResp.Status, upResp.Header)
 	if upResp.Status != http.StatusMisdirectedRequest { // 421 may come from another endpoint at the address.
 		r.observeRateLimit(endpoint, upResp)
@@ -75,8 +76,8 @@
 		q.addEvidence(endpoint.ID, strconv.Itoa(upResp.Status)+"_signed_reused")
 		q.possibleRuns++
 	case head.NotExecuted:
-		q.addRefusalEvidence(endpoint.ID, upResp)
-		r.counters.recordRefusal(upResp)
+		q.addRefusalEvidence(endpoint.ID, upResp, earlier)
+		r.counters.recordRefusal(upResp, earlier)
 	default:
 		q.possibleRuns++
 	}
@@ -193,14 +194,14 @@
 }
 
 // sendFailed returns the result for a request that got no response header.
-func (q *request) sendFailed(err error) result {
+func (q *request) sendFailed(address string, err error) result {
 	if errors.Is(err, upstream.ErrNotSent) {
 		if q.ctx.Err() != nil {
 			return resultCancelled
 		}
 		return resultUnreached
 	}
-	q.delivered++
+	q.recordDelivery(address)
 	q.possibleRuns++
 	if q.ctx.Err() != nil {
 		return resultCancelled
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -18,6 +18,7 @@
 // Request is a request to an endpoint. Body holds the complete body, so that the
 // caller of Do can send an idempotent request again.
 type Request struct {
+	ID            string // The id that the response names; several requests may have the same.
 	Method        string
 	URI           string // Path and query, unchanged from the caller's request.
 	Host          string
@@ -48,6 +49,8 @@
 	Body   io.Reader // Read returns ErrConnectionBroken if the body ends early.
 	Named  bool      // The response names the request.
 	Reused bool      // The connection carried other requests before.
+	// SameID: one of them had the same id. A response that names this id may be that of the earlier request.
+	SameID bool
 
 	exchange *exchange
 }
@@ -83,6 +86,8 @@
 	}
 	x := &exchange{pool: p, address: address, conn: c, sent: make(chan struct{})}
 	c.requests++
+	sameID := c.ids.contains(r.ID)
+	c.ids.add(r.ID)
 	x.stopWatch = context.AfterFunc(ctx, c.abort)
 	x.startSend(r)
 	if silence > 0 {
@@ -96,7 +101,8 @@
 	x.resp = resp
 	c.updateIdleTimeout(resp.Header)
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Body: &body{x: x}, Named: x.named, Reused: c.requests > 1, exchange: x,
+		Status: resp.StatusCode, Header: resp.Header, Body: &body{x: x}, Named: x.named, Reused: c.requests > 1, SameID: sameID,
+		exchange: x,
 	}, nil
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -75,6 +75,7 @@
 	idleTimeout time.Duration // The connection is not reused after this idle time.
 	idleSince   time.Time
 	requests    int // Requests that were sent on the connection.
+	ids         requestIDs
 }
 
 // NewPool returns an empty Pool that dials TCP.
