router: what must run once comes to an address once, and a connection carries each id once

Callers of what must run once got 503 with the promise that it had not run, or it ran at two endpoints, where one address was registered under two ids (an endpoint that ended without leaving and started again at its address): the request got 421 under the old id and was sent again under the new one, mostly on the same kept connection. An endpoint that repeated the 421 there was believed, since the response names the request, not the attempt.

A request that must run once is now sent to an address once, whatever ids are registered there: a refusal that names it can only be that of its one attempt, also if it comes on another connection. What may run again gets a connection that has carried no request with its id; this holds for requests of several callers with one id too. The record of ids is bounded by 500 requests a connection. Requests without an id get a connection of their own, since their responses cannot be told apart.

Tests of upstream: requests have ids, each its own, as callers send them.

--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -62,9 +62,9 @@
 }
 
 // recordRefusal counts a response in which an endpoint states that it did not run the request.
-func (c *Counters) recordRefusal(resp *upstream.Response, earlier earlierAttempt) {
+func (c *Counters) recordRefusal(resp *upstream.Response, sameAddress bool) {
 	tags := map[string]string{
-		"named": strconv.FormatBool(resp.Named), "reused": strconv.FormatBool(resp.Reused), "same": string(earlier),
+		"named": strconv.FormatBool(resp.Named), "reused": strconv.FormatBool(resp.Reused), "same_address": strconv.FormatBool(sameAddress),
 	}
 	c.scope.Tagged(tags).Counter("endpoint_refusals_total").Inc(1)
 }
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -173,7 +173,7 @@
 // plainCandidates returns the usable endpoints of a plain service. It leaves out
 // blocked endpoints unless all are blocked.
 func (e *endpointTracker) plainCandidates(
-	list []*catalog.Endpoint, tried map[catalog.EndpointID]bool, now time.Time,
+	list []*catalog.Endpoint, excludes func(*catalog.Endpoint) bool, now time.Time,
 ) []routing.PlainEndpoint {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -186,7 +186,7 @@
 		s := e.stats(ep)
 		c := routing.PlainEndpoint{
 			ID: ep.ID, FailureDomain: ep.FailureDomain, Slots: ep.Slots, Outstanding: s.outstanding,
-			FailureRate: s.health.FailureRate(now), LatencyMS: s.health.LatencyMS(now), Tried: tried[ep.ID],
+			FailureRate: s.health.FailureRate(now), LatencyMS: s.health.LatencyMS(now), Tried: excludes(ep),
 		}
 		all = append(all, c)
 		if !s.health.IsBlocked(now) {
@@ -222,7 +222,7 @@
 			ID: ep.ID, FailureDomain: ep.FailureDomain, Snapshot: state.snapshot, SnapshotFresh: state.fresh,
 			PendingPrefillMS: state.pendingPrefillMS, PendingLoads: state.pendingLoads,
 			FailureRate: health.FailureRate(now),
-			Cached:      conn.cached(q.call.Adapter), Tried: q.tried[ep.ID] || health.IsBlocked(now),
+			Cached:      conn.cached(q.call.Adapter), Tried: q.excludes(ep) || health.IsBlocked(now),
 		})
 	}
 	return out
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -38,7 +38,7 @@
 func (r *Router) selectPlain(q *request) (*placement, time.Duration) {
 	v := r.state.View()
 	now, list := time.Now(), q.permitted(v.Endpoints[q.service.Name])
-	candidates := r.endpointTracker.plainCandidates(list, q.tried, now)
+	candidates := r.endpointTracker.plainCandidates(list, q.excludes, now)
 	minWait := r.endpointTracker.minPushback(list, now)
 	for _, id := range routing.RankPlainEndpoints(r.settings.FailureDomain, candidates, rand.Float64) {
 		endpoint := v.FindEndpoint(q.service.Name, id)
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -92,30 +92,15 @@
 	q.reached[address] = true
 }
 
-// earlierAttempt is what an attempt shares with an earlier one of the same request, whose response names the same id.
-type earlierAttempt string
-
-// Values of earlierAttempt.
-const (
-	earlierNone       earlierAttempt = "none"
-	earlierAddress    earlierAttempt = "address"
-	earlierConnection earlierAttempt = "connection"
-)
-
-// earlierAttemptAt returns what the attempt that brought resp shares with an earlier one. Call it before recordDelivery.
-func (q *request) earlierAttemptAt(address string, resp *upstream.Response) earlierAttempt {
-	switch {
-	case resp.SameID:
-		return earlierConnection
-	case q.reached[address]:
-		return earlierAddress
-	default:
-		return earlierNone
-	}
+// excludes reports whether the request is not sent to an endpoint: it was there before, or it must run once and was at the
+// endpoint's address, under another id of the endpoint there. A response names the request, not the attempt, so that the
+// refusal of one attempt at an address could be taken for the response to another one.
+func (q *request) excludes(ep *catalog.Endpoint) bool {
+	return q.tried[ep.ID] || q.reached[ep.Address] && !q.route.Idempotent()
 }
 
 // addRefusalEvidence records the response in which an endpoint states that it did not run an attempt.
-func (q *request) addRefusalEvidence(id catalog.EndpointID, resp *upstream.Response, earlier earlierAttempt) {
+func (q *request) addRefusalEvidence(id catalog.EndpointID, resp *upstream.Response, sameAddress bool) {
 	evidence := strconv.Itoa(resp.Status)
 	if !resp.Named {
 		evidence += "_unnamed"
@@ -123,8 +108,8 @@
 	if resp.Reused {
 		evidence += "_reused"
 	}
-	if earlier != earlierNone {
-		evidence += "_same_" + string(earlier)
+	if sameAddress {
+		evidence += "_same_address"
 	}
 	q.addEvidence(id, evidence)
 }
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -63,7 +63,7 @@
 		q.addEvidence(endpoint.ID, evidenceOf(err))
 		return q.sendFailed(endpoint.Address, err), nil
 	}
-	earlier := q.earlierAttemptAt(endpoint.Address, upResp)
+	sameAddress := q.reached[endpoint.Address]
 	q.recordDelivery(endpoint.Address)
 	head := platform.ParseResponseHead(upResp.Status, upResp.Header)
 	if upResp.Status != http.StatusMisdirectedRequest { // 421 may come from another endpoint at the address.
@@ -76,8 +76,8 @@
 		q.addEvidence(endpoint.ID, strconv.Itoa(upResp.Status)+"_signed_reused")
 		q.possibleRuns++
 	case head.NotExecuted:
-		q.addRefusalEvidence(endpoint.ID, upResp, earlier)
-		r.counters.recordRefusal(upResp, earlier)
+		q.addRefusalEvidence(endpoint.ID, upResp, sameAddress)
+		r.counters.recordRefusal(upResp, sameAddress)
 	default:
 		q.possibleRuns++
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -18,7 +18,9 @@
 // Request is a request to an endpoint. Body holds the complete body, so that the
 // caller of Do can send an idempotent request again.
 type Request struct {
-	ID            string // The id that the response names; several requests may have the same.
+	// ID is the id that the response names. Attempts of one request have the same, and callers may choose one that another
+	// request has. A request without an id gets a connection of its own.
+	ID            string
 	Method        string
 	URI           string // Path and query, unchanged from the caller's request.
 	Host          string
@@ -49,8 +51,6 @@
 	Body   io.Reader // Read returns ErrConnectionBroken if the body ends early.
 	Named  bool      // The response names the request.
 	Reused bool      // The connection carried other requests before.
-	// SameID: one of them had the same id. A response that names this id may be that of the earlier request.
-	SameID bool
 
 	exchange *exchange
 }
@@ -72,6 +72,7 @@
 	skipped      int  // Skipped responses of earlier requests.
 	named        bool // The response names the request.
 	unnamed      bool // The response names no request, although Request.MatchResponse asks for it.
+	anonymous    bool // The request has no id.
 }
 
 // Do sends r to address (HOST:PORT) and returns once the head of its response has
@@ -80,13 +81,12 @@
 //
 // Errors are of type ErrNotSent, ErrConnectionBroken or ErrMalformedResponse.
 func (p *Pool) Do(ctx context.Context, address string, r *Request, silence time.Duration) (*Response, error) {
-	c, err := p.get(ctx, address, r.NonIdempotent)
+	c, err := p.get(ctx, address, r)
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{pool: p, address: address, conn: c, sent: make(chan struct{})}
+	x := &exchange{pool: p, address: address, conn: c, sent: make(chan struct{}), anonymous: r.ID == ""}
 	c.requests++
-	sameID := c.ids.contains(r.ID)
 	c.ids.add(r.ID)
 	x.stopWatch = context.AfterFunc(ctx, c.abort)
 	x.startSend(r)
@@ -101,8 +101,7 @@
 	x.resp = resp
 	c.updateIdleTimeout(resp.Header)
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Body: &body{x: x}, Named: x.named, Reused: c.requests > 1, SameID: sameID,
-		exchange: x,
+		Status: resp.StatusCode, Header: resp.Header, Body: &body{x: x}, Named: x.named, Reused: c.requests > 1, exchange: x,
 	}, nil
 }
 
@@ -283,14 +282,17 @@
 }
 
 // reusable reports whether the connection can serve another request: the request
-// was sent completely, its response names it, no response was skipped, and nothing
-// follows the response.
+// was sent completely, its response names it, no response was skipped, nothing
+// follows the response, and the record of ids has room.
 func (x *exchange) reusable() bool {
 	select {
 	case <-x.sent:
 	default:
 		return false // The endpoint responded before it read the whole request.
 	}
+	if x.anonymous || x.conn.requests >= maxRequests {
+		return false
+	}
 	return x.sendErr == nil && x.skipped == 0 && !x.unnamed && !x.resp.Close && x.conn.br.Buffered() == 0 && selfDelimited(x.resp)
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -74,8 +75,8 @@
 	limit       *readLimit    // What br reads from.
 	idleTimeout time.Duration // The connection is not reused after this idle time.
 	idleSince   time.Time
-	requests    int // Requests that were sent on the connection.
-	ids         requestIDs
+	requests    int        // Requests that were sent on the connection.
+	ids         requestIDs // Of these requests. Each id is on a connection once: a response that names it is then that of one request.
 }
 
 // NewPool returns an empty Pool that dials TCP.
@@ -98,17 +99,17 @@
 	})
 }
 
-// get returns a reusable idle connection or a new one. runOnce means that the
-// request must not run twice. Dial errors are of type ErrNotSent.
-func (p *Pool) get(ctx context.Context, address string, runOnce bool) (*conn, error) {
+// get returns a reusable idle connection, which has carried no request with the id of r, or a new one. Dial errors are of
+// type ErrNotSent.
+func (p *Pool) get(ctx context.Context, address string, r *Request) (*conn, error) {
 	now := time.Now()
-	for !p.sendsUnnamed(address, now) {
-		c := p.popIdle(address)
+	for r.ID != "" && !p.sendsUnnamed(address, now) {
+		c := p.popIdle(address, r.ID)
 		if c == nil {
 			break
 		}
 		idleTime := now.Sub(c.idleSince)
-		if idleTime > c.idleTimeout || runOnce && idleTime > maxIdleIfRunOnce || !c.reusable() {
+		if idleTime > c.idleTimeout || r.NonIdempotent && idleTime > maxIdleIfRunOnce || !c.reusable() {
 			_ = c.Close()
 			continue
 		}
@@ -144,17 +145,18 @@
 	return n, err
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes and returns the most recently used idle connection that has carried no request with an id, or nil.
+func (p *Pool) popIdle(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.ids.contains(id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put adds an idle connection and closes the oldest one above maxIdlePerAddress.
--- a/internal/upstream/requestids.go
+++ b/internal/upstream/requestids.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// maxRecordedIDs bounds the record of a connection, 8 bytes each.
-const maxRecordedIDs = 1000
+// maxRequests bounds the requests of a connection, and with them the record of their ids, 8 bytes each.
+const maxRequests = 500
 
 // idSeed keeps callers from choosing ids with equal hashes.
 var idSeed = maphash.MakeSeed()
@@ -14,14 +14,10 @@
 // requestIDs records the ids of the requests that a connection has carried, by their hashes.
 type requestIDs struct{ hashes []uint64 }
 
-// add records an id unless the record is full.
-func (r *requestIDs) add(id string) {
-	if len(r.hashes) < maxRecordedIDs {
-		r.hashes = append(r.hashes, maphash.String(idSeed, id))
-	}
-}
+// add records an id.
+func (r *requestIDs) add(id string) { r.hashes = append(r.hashes, maphash.String(idSeed, id)) }
 
-// contains reports whether an id was recorded. It may be wrong for an id that was not, with a probability of 2^-54.
+// contains reports whether an id was recorded. It may be wrong for an id that was not, with a probability of 2^-55.
 func (r *requestIDs) contains(id string) bool {
 	return slices.Contains(r.hashes, maphash.String(idSeed, id))
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -58,8 +58,14 @@
 	return err == nil
 }
 
+// requests counts the requests of newRequest.
+var requests atomic.Int64
+
+// newRequest returns a request that the endpoint knows by the header Id. Its ID is that of no other request.
 func newRequest(id string) *Request {
-	return &Request{Method: http.MethodPost, URI: "/x?y=1", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body")}
+	return &Request{
+		ID: fmt.Sprintf("%s-%d", id, requests.Add(1)), Method: http.MethodPost, URI: "/x?y=1", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
+	}
 }
 
 // readBody reads the body of r to its end and closes r.
@@ -320,12 +326,13 @@
 		return n == 1 && write(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 	})
 	p := NewPool()
-	get := &Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}}
+	get := &Request{ID: "1", Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}}
 	r, err := p.Do(t.Context(), address, get, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
 	_, _ = readBody(t, r)
+	get.ID = "2"
 	if _, err := p.Do(t.Context(), address, get, 0); !errors.Is(err, ErrConnectionBroken) {
 		t.Errorf("second request: error = %v, want ErrConnectionBroken", err)
 	}
