router: former incarnations at an address are avoided

Of the requests to services whose endpoints are registered under two ids of one address nearly half were refused: each one that went to the former id got 421 and took one of the retries that all routers share. An endpoint of a plain service that refuses a request as meant for another one now counts as unreachable, for 250 ms to 2 s at a time, and an engine whose scheduler reports a later incarnation that is registered at the same address is left out.

--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -218,6 +218,9 @@
 		}
 		health := r.endpointTracker.healthOf(ep)
 		state := conn.state(now)
+		if isFormer(ep, state.snapshot.Incarnation, list) {
+			continue
+		}
 		out = append(out, routing.Engine{
 			ID: ep.ID, FailureDomain: ep.FailureDomain, Snapshot: state.snapshot, SnapshotFresh: state.fresh,
 			PendingPrefillMS: state.pendingPrefillMS, PendingLoads: state.pendingLoads,
@@ -227,3 +230,11 @@
 	}
 	return out
 }
+
+// isFormer reports whether an endpoint is a former incarnation of the engine at its address, whose current one is registered too. The
+// engine would refuse its requests until the registration expires.
+func isFormer(ep *catalog.Endpoint, current int64, registered []*catalog.Endpoint) bool {
+	return ep.Incarnation < current && slices.ContainsFunc(registered, func(other *catalog.Endpoint) bool {
+		return other.Address == ep.Address && other.Incarnation == current
+	})
+}
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -179,7 +179,7 @@
 	switch res {
 	case resultResponded:
 		h.RecordSuccess(took, now)
-	case resultUnreached:
+	case resultUnreached, resultMisdirected:
 		h.RecordUnreachable(now)
 	case resultBroken, resultFailed:
 		h.RecordFailure(now)
@@ -200,7 +200,7 @@
 		return false
 	}
 	switch res {
-	case resultUnreached, resultNotRun:
+	case resultUnreached, resultNotRun, resultMisdirected:
 		return q.possibleRuns == 0 || q.route.Idempotent()
 	case resultBroken, resultFailed:
 		return q.route.Idempotent() && q.possibleRuns < q.route.MaxAttempts && len(q.trial) == 0
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -20,16 +20,17 @@
 
 // Values of result.
 const (
-	resultUnreached result = iota // No byte was sent.
-	resultNotRun                  // The endpoint proved that it did not run the request.
-	resultFailed                  // The endpoint may have run the request and responded with a failure.
-	resultBroken                  // The endpoint may have run the request; there is no complete response.
-	resultResponded               // The response is complete, or a stream has started.
-	resultCancelled               // The caller disconnected or the deadline passed.
+	resultUnreached   result = iota // No byte was sent.
+	resultNotRun                    // The endpoint proved that it did not run the request.
+	resultMisdirected               // As resultNotRun: another endpoint is at the address.
+	resultFailed                    // The endpoint may have run the request and responded with a failure.
+	resultBroken                    // The endpoint may have run the request; there is no complete response.
+	resultResponded                 // The response is complete, or a stream has started.
+	resultCancelled                 // The caller disconnected or the deadline passed.
 )
 
 // resultNames are the names of the results in the log.
-var resultNames = [...]string{"unreached", "not_run", "failed", "broken", "answered", "left"}
+var resultNames = [...]string{"unreached", "not_run", "misdirected", "failed", "broken", "answered", "left"}
 
 const (
 	// maxBufferedBytes bounds a response that is read completely before it is forwarded.
@@ -158,7 +159,7 @@
 	upResp.Close(err == nil && len(body) <= maxBytes)
 	if err != nil || len(body) > maxBytes {
 		if head.NotExecuted {
-			return resultNotRun, nil
+			return q.refusalResult(upResp.Status), nil
 		}
 		if q.ctx.Err() != nil {
 			return resultCancelled, nil
@@ -168,7 +169,7 @@
 	resp.body = body
 	switch {
 	case head.NotExecuted:
-		return resultNotRun, resp
+		return q.refusalResult(upResp.Status), resp
 	case promisesNotRun(upResp.Status) && !q.route.Idempotent():
 		q.addEvidence(resp.from.endpoint.ID, strconv.Itoa(upResp.Status)+"_unproven")
 		return resultFailed, nil // Passed on, the status would promise what the endpoint does not state.
@@ -179,6 +180,15 @@
 	}
 }
 
+// refusalResult returns the result of a refusal. An engine refuses requests for models and adapters that it has not loaded with the
+// same status as those for another endpoint.
+func (q *request) refusalResult(status int) result {
+	if status == http.StatusMisdirectedRequest && q.call.Adapter.Model == "" {
+		return resultMisdirected
+	}
+	return resultNotRun
+}
+
 // evidenceOf names what an error of the connection tells about the request, for the log.
 func evidenceOf(err error) string {
 	switch {
