agent: a response without its request's id is not believed on a connection in use

Callers received the response to another caller's request, where an endpoint does not echo X-Request-Id and writes a response once more: agents keep connections for idempotent requests, and a response without an id was trusted.

--- a/internal/agent/intake/intake.go
+++ b/internal/agent/intake/intake.go
@@ -74,9 +74,10 @@
 	attempts       tally.Counter // Attempts received.
 	refusals       tally.Counter // Attempts refused.
 	broken         tally.Counter // Responses that were not forwarded completely.
-	mismatched     tally.Counter // Responses that carried the id of another attempt.
+	mismatched     tally.Counter // Responses that are not shown to be those of their attempt.
 	crashed        tally.Counter // Attempts during which the endpoint crashed.
 	endedBeforeRun tally.Counter // Attempts whose context ended after they were granted and before they ran.
+	reuse          reuse         // Of connections to the endpoint.
 }
 
 // NewHandler returns a Handler that accepts attempts while opts.Gate is open.
--- a/internal/agent/intake/run.go
+++ b/internal/agent/intake/run.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -23,9 +24,12 @@
 func (a *attempt) run(ctx context.Context) {
 	a.record(timeline.KindRequestRunning)
 	a.startBoot = a.h.opts.Watch.Boot()
-	var connected atomic.Bool
+	var connected, reused atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			reused.Store(info.Reused)
+		},
 	})
 	resp, err := a.h.opts.Endpoint.Run(traced, a.newEndpointRequest(ctx))
 	if err != nil && !connected.Load() {
@@ -39,7 +43,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	if refused := a.checkResponse(resp); refused != nil {
+	if refused := a.checkResponse(resp, reused.Load()); refused != nil {
 		a.refuse(refused)
 		return
 	}
@@ -69,11 +73,12 @@
 }
 
 // checkResponse returns a refusal if the response must not reach the caller, or
-// nil.
-func (a *attempt) checkResponse(resp *http.Response) *refusal.Refusal {
+// nil. reused means that its connection carried other requests before.
+func (a *attempt) checkResponse(resp *http.Response, reused bool) *refusal.Refusal {
 	a.h.opts.Watch.ObserveBoot(ident.BootID(resp.Header.Get(engine.HeaderBootID)))
 	echo := resp.Header.Get(engine.HeaderRequestID)
-	if echo != "" && echo != string(a.job.AttemptID) {
+	a.h.reuse.observe(echo != "", time.Now())
+	if echo == "" && reused || echo != "" && echo != string(a.job.AttemptID) {
 		a.h.mismatched.Inc(1)
 		a.record(timeline.KindResponseDropped)
 		return mismatchedResponse()
@@ -108,7 +113,7 @@
 		Header:        make(http.Header),
 		Body:          io.NopCloser(bytes.NewReader(a.body)),
 		ContentLength: int64(len(a.body)),
-		Close:         !a.job.Idempotent,
+		Close:         !a.job.Idempotent || !a.h.reuse.permitted(time.Now()),
 	}).WithContext(ctx)
 	if a.job.ContentType != "" {
 		req.Header.Set("Content-Type", a.job.ContentType)
