--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -18,8 +18,8 @@
 // Request is a request to an endpoint. Body holds the complete body, so that the
 // caller of Do can send an idempotent request again.
 type Request struct {
-	// ID is the id that the response names. Attempts of one request have the same, and callers may choose one that another
-	// request has. A request without an id gets a connection of its own.
+	// ID is the request id that the response repeats. All attempts of a request have the same one, and two callers may choose
+	// the same. A request without an id gets a connection of its own.
 	ID            string
 	Method        string
 	URI           string // Path and query, unchanged from the caller's request.
--- a/internal/upstream/requestids_test.go
+++ b/internal/upstream/requestids_test.go
@@ -28,7 +28,7 @@
 	return connections.Load()
 }
 
-// A repeated response to an earlier request with the same id could not be told from the own one.
+// On a connection that has carried the id before, an endpoint that repeats its earlier response would be believed.
 func TestConnectionCarriesEachIDOnce(t *testing.T) {
 	for _, tc := range []struct {
 		ids  []string
@@ -45,7 +45,7 @@
 	}
 }
 
-// Responses to requests without an id cannot be told apart.
+// Without an id, a repeated response to an earlier request would be taken for the response to the next one.
 func TestRequestWithoutIDGetsConnectionOfItsOwn(t *testing.T) {
 	if got := doAll(t, []string{"a", "", "", "b"}); got != 3 {
 		t.Errorf("requests with the ids a, none, none, b used %d connections, want 3", got)
