catalog: keep the evacuations of failure domains

The operator evacuates a failure domain by the key op/evacuate/ZONE.

Deletions that come from the first listing after a restore of the store are marked, and end an evacuation only 2.6 s after the restore was noticed, unless the key is written again. The view says whether the operator's items have been listed, and a Follower up to which time they had not changed.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -487,3 +487,85 @@
 		}
 	})
 }
+
+// A restored store may lack the key of an evacuation until the operator's items are written again. The evacuation
+// must go on meanwhile, also over a second restore, and end if the key stays missing. A removal ends it at once.
+func TestEvacuationOutlastsMissingKeyAfterRestore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return now.Add(d) }
+	s := NewState()
+	s.now = func() time.Time { return now }
+	begin := func(domains ...string) {
+		for _, d := range domains {
+			s.BeginEvacuation(d, now, now)
+		}
+	}
+	expect := func(when string, want ...string) {
+		t.Helper()
+		var got []string
+		for _, d := range []string{"missing", "rewritten", "removed"} {
+			if s.View().Evacuations.Evacuated(d) {
+				got = append(got, d)
+			}
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("evacuated domains %s = %v, want %v", when, got, want)
+		}
+	}
+	begin("missing", "rewritten", "removed")
+	s.EndEvacuation("removed", false, now)
+	expect("after a removal", "missing", "rewritten")
+	s.EndEvacuation("missing", true, now)
+	s.EndEvacuation("rewritten", true, now)
+	begin("rewritten")
+	now = at(2 * time.Second)
+	s.OperatorRecovered(now)
+	s.ExpireEvacuations(at(rewriteGrace - time.Millisecond))
+	expect("within the grace period", "missing", "rewritten")
+	if ended := s.ExpireEvacuations(at(rewriteGrace)); !slices.Equal(ended, []string{"missing"}) {
+		t.Errorf("evacuations that ended with the grace period = %v, want missing", ended)
+	}
+	expect("after the grace period", "rewritten")
+}
+
+// A deletion is marked if it comes from the first listing after a restore, and only then. The time up to
+// which an item had not changed is known, unless the process has just started.
+func TestFollowerMarksDeletionsByRestore(t *testing.T) {
+	store := &fakeStore{items: map[string]Item{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	type change struct {
+		Item
+		since time.Time
+	}
+	var got []change
+	f := &Follower{Store: store, Log: logrus.NewEntry(log), revisions: map[string]int64{}}
+	f.OnChange = func(i Item) { got = append(got, change{i, f.ConfirmedAt()}) }
+	step := func() change {
+		got = nil
+		for range 2 { // A watch that cannot continue, and a listing.
+			if err := f.step(t.Context()); err != nil {
+				f.listed = false
+			}
+		}
+		if len(got) != 1 {
+			t.Fatalf("changes = %v, want one", got)
+		}
+		return got[0]
+	}
+	restore := store.backup()
+	store.put("a", false)
+	if i := step(); !i.since.IsZero() {
+		t.Errorf("time before the first listing = %s, want none", i.since)
+	}
+	store.put("a", true)
+	if i := step(); !i.Deleted || i.Restored || i.since.IsZero() {
+		t.Errorf("deletion = %+v, want one that is not marked as restored, with a time", i)
+	}
+	store.put("a", false)
+	step()
+	restore()
+	if i := step(); !i.Deleted || !i.Restored {
+		t.Errorf("change by the restore = %+v, want a deletion marked as restored", i)
+	}
+}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -32,7 +32,7 @@
 	Value    []byte
 	Revision int64 // Revision of the last change.
 	Deleted  bool
-	Restored bool // Part of the first listing after a restore: the value may be older than a known one.
+	Restored bool // Part of the first listing after a restore: the value may be older than a known one, or missing.
 }
 
 // Position is a position in the changes of a store. A store that is restored from a backup
@@ -108,6 +108,10 @@
 // String returns the service name for supervisor events.
 func (f *Follower) String() string { return "follower of " + f.Prefix }
 
+// ConfirmedAt returns a time up to which no change was missing before the current step; zero in the first listing. It
+// may be called in OnChange only.
+func (f *Follower) ConfirmedAt() time.Time { return f.confirmedAt }
+
 // Serve mirrors the items until ctx ends. It implements suture.Service.
 func (f *Follower) Serve(ctx context.Context) error {
 	if f.revisions == nil {
@@ -257,7 +261,7 @@
 	}
 	for key := range f.revisions {
 		if !present[key] {
-			f.apply(Item{Key: key, Revision: f.revisions[key] + 1, Deleted: true})
+			f.apply(Item{Key: key, Revision: f.revisions[key] + 1, Deleted: true, Restored: restored})
 		}
 	}
 }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/evacuation"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/streamorigin"
 )
 
@@ -19,12 +20,19 @@
 // store. A backup is seconds old.
 const removedRetention = time.Minute
 
+// rewriteGrace is how long after a restore of the store an evacuation whose key is missing stays in force. The
+// operator's items are written again within that time.
+const rewriteGrace = 2600 * time.Millisecond
+
 // View is an immutable snapshot of the deployment.
 type View struct {
 	Config    *Config                // Nil before the first configuration.
 	Endpoints map[string][]*Endpoint // By service.
 	Versions  map[AdapterKey]int64   // Latest announced version of each adapter.
 	Synced    bool                   // The registry has been listed at least once.
+	// OperatorSynced is set once the operator's items have been listed.
+	OperatorSynced bool
+	Evacuations    *evacuation.State
 }
 
 // FindEndpoint returns a service's endpoint by its ID, or nil.
@@ -53,7 +61,10 @@
 	software   map[string]*streamorigin.History // Software versions in service, by service.
 	now        func() time.Time                 // Replaced in tests.
 	graceUntil time.Time                        // Removals before this time are postponed to it.
-	view       atomic.Pointer[View]             // Nil after a change.
+	operator   bool                             // The operator's items have been listed.
+	evacuated  *evacuation.State
+	ending     map[string]time.Time // End of the evacuations whose keys a restored store lacks.
+	view       atomic.Pointer[View] // Nil after a change.
 	changed    chan struct{}
 }
 
@@ -63,6 +74,7 @@
 		endpoints: make(map[EndpointID]*Endpoint),
 		latest:    make(map[EndpointID]*Endpoint),
 		removed:   make(map[EndpointID]time.Time),
+		ending:    make(map[string]time.Time),
 		expiring:  make(map[EndpointID]time.Time),
 		versions:  make(map[AdapterKey]int64),
 		changed:   make(chan struct{}, 1),
@@ -239,6 +251,77 @@
 	s.invalidate()
 }
 
+// MarkOperatorListed records that the operator's items have been listed.
+func (s *State) MarkOperatorListed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.operator {
+		s.operator = true
+		s.invalidate()
+	}
+}
+
+// BeginEvacuation begins the evacuation of a failure domain. since is the last time at which its key was known to be
+// absent, zero if that is not known. It reports whether the domain was not being evacuated before.
+func (s *State) BeginEvacuation(domain string, since, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.ending, domain)
+	return s.setEvacuations(s.evacuated.Begin(domain, since, now))
+}
+
+// EndEvacuation ends the evacuation of a failure domain, after rewriteGrace if its key is missing in a store that was
+// restored (noticed now). It reports whether the domain was being evacuated.
+func (s *State) EndEvacuation(domain string, restored bool, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if restored {
+		if s.evacuated.Evacuated(domain) {
+			s.ending[domain] = now.Add(rewriteGrace)
+		}
+		return s.evacuated.Evacuated(domain)
+	}
+	delete(s.ending, domain)
+	return s.setEvacuations(s.evacuated.End(domain, now))
+}
+
+// OperatorRecovered extends the evacuations that are about to end because a restored store lacks their keys: the
+// store has been restored again, or was unreachable, so that the operator's items may still be missing.
+func (s *State) OperatorRecovered(time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for domain := range s.ending {
+		s.ending[domain] = s.now().Add(rewriteGrace)
+	}
+}
+
+// ExpireEvacuations ends the evacuations whose keys a restored store still lacks after rewriteGrace. It returns
+// their failure domains.
+func (s *State) ExpireEvacuations(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var expired []string
+	for domain, until := range s.ending {
+		if now.Before(until) {
+			continue
+		}
+		delete(s.ending, domain)
+		s.setEvacuations(s.evacuated.End(domain, now))
+		expired = append(expired, domain)
+	}
+	return expired
+}
+
+// setEvacuations sets the evacuations and reports whether they changed. The caller holds s.mu.
+func (s *State) setEvacuations(next *evacuation.State) bool {
+	if next == s.evacuated {
+		return false
+	}
+	s.evacuated = next
+	s.invalidate()
+	return true
+}
+
 // SoleSoftware returns the software version that was the only one of a service's registered endpoints since a
 // time, or "" if there is none or the registry was not known all the time.
 func (s *State) SoleSoftware(service string, since time.Time) string {
@@ -296,7 +379,10 @@
 
 // buildView builds a View of the current state. The caller holds s.mu.
 func (s *State) buildView() *View {
-	v := &View{Config: s.config, Endpoints: make(map[string][]*Endpoint), Versions: maps.Clone(s.versions), Synced: s.synced}
+	v := &View{
+		Config: s.config, Endpoints: make(map[string][]*Endpoint), Versions: maps.Clone(s.versions), Synced: s.synced,
+		OperatorSynced: s.operator, Evacuations: s.evacuated,
+	}
 	for _, e := range s.endpoints {
 		v.Endpoints[e.Service] = append(v.Endpoints[e.Service], e)
 	}
