router: leave endpoints of evacuated failure domains out

An evacuated failure domain must get no requests from evacuate-ms after the store acknowledged the key.

The candidates of engines and of plain services, the check after a grant and after the call to the router that counts an endpoint's rate, requests without a grant, retries and continuations leave closed domains out. A request whose service is left with closed domains only is refused at once (503, evacuated). A router is ready once it has listed the operator's items.

--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -21,6 +21,7 @@
 	endpointsDraining tally.Counter // Endpoints that said in a response that they drain.
 	endpointPushbacks tally.Counter // Refusals with a Retry-After of endpoints that were in use.
 	partsRefused      tally.Counter // Requests refused because of a prompt part on which engines crash.
+	evacuatedDomains  tally.Gauge   // Failure domains whose evacuation key stands.
 	streamsUnrecorded tally.Counter // Streams that began before any holder had recorded their software version.
 }
 
@@ -42,6 +43,7 @@
 		endpointsDraining: scope.Counter("endpoints_draining_total"),
 		endpointPushbacks: scope.Counter("endpoint_pushbacks_total"),
 		partsRefused:      scope.Counter("prompt_parts_refused_total"),
+		evacuatedDomains:  scope.Gauge("evacuated_domains"),
 		streamsUnrecorded: scope.Counter("streams_unrecorded_total"),
 	}
 }
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -209,7 +209,7 @@
 // engineCandidates returns the usable engines of the request's service that have a scheduler
 // connection.
 func (r *Router) engineCandidates(v *catalog.View, q *request, now time.Time) []routing.Engine {
-	list := v.Endpoints[q.service.Name]
+	list := r.eligible(v, q, now)
 	out := make([]routing.Engine, 0, len(list))
 	for _, ep := range list {
 		conn := r.schedulerConns.conn(ep.Address)
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -57,7 +57,7 @@
 		now := time.Now()
 		ranked := routing.Rank(r.routing, r.job(q, now), r.engineCandidates(v, q, now))
 		if len(ranked) == 0 {
-			return nil, shorterWait(minWait, r.endpointTracker.minPushback(v.Endpoints[q.service.Name], now))
+			return nil, shorterWait(minWait, r.endpointTracker.minPushback(r.eligible(v, q, now), now))
 		}
 		best := ranked[0]
 		endpoint := v.FindEndpoint(q.service.Name, best.ID)
@@ -132,9 +132,12 @@
 		q.addStep(endpoint.ID, string(reply.Refusal))
 		return nil, time.Duration(reply.ExpectedWaitMS) * time.Millisecond
 	}
-	current := r.state.View().FindEndpoint(endpoint.Service, endpoint.ID)
-	if current == nil || !r.endpointTracker.usable(current, time.Now()) {
-		g.release() // The engine started to drain or refused another request while this one waited.
+	v := r.state.View()
+	now = time.Now()
+	current := v.FindEndpoint(endpoint.Service, endpoint.ID)
+	if current == nil || !r.endpointTracker.usable(current, now) || r.domains.isClosed(v, current.FailureDomain, now) {
+		// The engine started to drain or refused another request while this one waited, or its domain was closed.
+		g.release()
 		q.addStep(endpoint.ID, "left_meanwhile")
 		return nil, minRetryAfter
 	}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -90,7 +90,7 @@
 		r.refuse(q, refusal.CodeNoEndpoint, "The route's service is not configured.", notReadyRetryAfter)
 		return false
 	}
-	return r.readBody(q) && r.checkStop(q) && r.bindResumedStream(q) && r.checkQuarantine(q) && r.checkParts(q) && r.takeQuota(q)
+	return r.readBody(q) && r.checkStop(q) && r.bindResumedStream(q) && r.checkQuarantine(q) && r.checkDomains(q) && r.checkParts(q) && r.takeQuota(q)
 }
 
 // hostOnly returns the host without its port.
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -37,7 +37,8 @@
 // one, or 0 if no endpoint has either.
 func (r *Router) selectPlain(q *request) (*placement, time.Duration) {
 	v := r.state.View()
-	now, list := time.Now(), q.permitted(v.Endpoints[q.service.Name])
+	now := time.Now()
+	list := q.permitted(r.eligible(v, q, now))
 	candidates := r.endpointTracker.plainCandidates(list, q.excludes, now)
 	minWait := r.endpointTracker.minPushback(list, now)
 	for _, id := range routing.RankPlainEndpoints(r.settings.FailureDomain, candidates, rand.Float64) {
@@ -46,6 +47,10 @@
 			continue
 		}
 		d := r.endpointLimits.Take(q.ctx, endpoint, r.endpointTracker.rateLimit(endpoint))
+		if r.domains.isClosed(r.state.View(), endpoint.FailureDomain, time.Now()) {
+			q.addStep(id, "left_meanwhile") // The call to the router that counts takes time.
+			continue
+		}
 		if d.Admitted {
 			return &placement{endpoint: endpoint, software: endpoint.SoftwareVersion}, 0
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,7 @@
 	pool            *upstream.Pool
 	schedulerConns  *schedulerConns
 	endpointTracker *endpointTracker
+	domains         *domains
 	relays          *relay.Relays
 	changes         *relay.Server
 	peers           *quota.Peers
@@ -80,7 +81,7 @@
 func New(s Settings, log *logrus.Entry) *Router {
 	metrics := process.NewMetrics()
 	r := &Router{
-		settings: s, log: log, pool: upstream.NewPool(), endpointTracker: newEndpointTracker(),
+		settings: s, log: log, pool: upstream.NewPool(), endpointTracker: newEndpointTracker(), domains: newDomains(s),
 		streamLengths: newStreamLengths(), stopper: newStopper(s.ShutdownGrace), routing: routing.DefaultConfig(), metrics: metrics,
 		counters: NewCounters(metrics.Scope.SubScope("router")), state: catalog.NewState(),
 		store: platform.NewStoreClient(s.StoreAddress),
@@ -259,6 +260,7 @@
 			r.endpointTracker.sync(v, time.Now())
 		case now := <-late.C:
 			r.schedulerConns.checkLate(now)
+			r.logPhases(r.state.View(), now)
 		case now := <-sweep.C:
 			r.pool.CloseExpired(now)
 			r.endpointLimits.Prune(r.state.View(), now)
@@ -283,7 +285,7 @@
 	switch {
 	case r.draining.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
-	case v.Config == nil:
+	case v.Config == nil || !v.OperatorSynced:
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 	case !v.Synced:
 		http.Error(w, "no list of endpoints yet", http.StatusServiceUnavailable)
--- a/internal/router/schedulerconn.go
+++ b/internal/router/schedulerconn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -183,6 +184,13 @@
 	pendingLoads     int     // Loads from the weight store that were requested after the snapshot.
 }
 
+// holds reports whether the engine can run an adapter without a load.
+func (s engineState) holds(key catalog.AdapterKey) bool {
+	return s.fresh && s.snapshot.Alive && !s.snapshot.Draining && slices.ContainsFunc(s.snapshot.Adapters, func(a grants.AdapterState) bool {
+		return a.Usable && a.Adapter == key.Adapter && a.Model == key.Model
+	})
+}
+
 // snapshotAge returns the time since the last snapshot.
 func (c *schedulerConn) snapshotAge(now time.Time) time.Duration {
 	c.mu.Lock()
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -22,10 +22,16 @@
 	ShutdownGrace      time.Duration // Time from SIGTERM to the exit of the process.
 	EndpointDrainBound time.Duration // How long a draining endpoint may still be used.
 	ConfigBound        time.Duration // Time in which a change of the configuration must be in force.
-	RetryRatio         float64       // Retries per request that all routers together may make.
-	RetryBurst         float64       // Retries beyond the ratio that all routers together may make in any window.
+	// EvacuateBound is the time after the start of an evacuation from which no request may reach the failure domain. If it
+	// is not set, defaultEvacuateBound applies, and adapters of lost engines are not replaced ahead of the requests.
+	EvacuateBound settings.OptionalDuration
+	RetryRatio    float64 // Retries per request that all routers together may make.
+	RetryBurst    float64 // Retries beyond the ratio that all routers together may make in any window.
 }
 
+// defaultEvacuateBound is the bound of today's deployments.
+const defaultEvacuateBound = 5 * time.Second
+
 // Check returns an error that lists all invalid settings, or nil.
 func (s Settings) Check() error {
 	var c settings.Checker
@@ -43,5 +49,6 @@
 	c.RequirePositive("grace", s.ShutdownGrace)
 	c.RequirePositive("drain-bound", s.EndpointDrainBound)
 	c.RequirePositive("config-bound", s.ConfigBound)
+	c.RequirePositive("evacuate-bound", s.EvacuateBound.Or(defaultEvacuateBound))
 	return c.Err()
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -44,3 +45,17 @@
 		t.Errorf("Err() = %v, want nil for valid settings", err)
 	}
 }
+
+// A deployment without the bound fills the template of a duration with an empty number, which must mean the default.
+func TestOptionalDurationWithoutNumberIsNotSet(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": time.Minute, "ms": time.Minute, "s": time.Minute, "4500ms": 4500 * time.Millisecond, "0s": 0} {
+		var d OptionalDuration
+		if err := d.Set(text); err != nil || d.Or(time.Minute) != want || d.IsSet() != (want != time.Minute) {
+			t.Errorf("%q: duration = %s, set = %t, error %v, want %s", text, d.Or(time.Minute), d.IsSet(), err, want)
+		}
+	}
+	var d OptionalDuration
+	if err := d.Set("5"); err == nil {
+		t.Error("a duration without a unit is valid")
+	}
+}
