router: data residency of routes and organisations

Requests of some routes and organisations may only be processed in certain regions.

Decodes allowed-regions of routes and tenants. If there is none it is refused at once (503, no_allowed_region, with Retry-After because the configuration may change). Without the field nothing changes.

--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -38,6 +38,8 @@
 	MaxAttempts   int           // Maximum number of endpoints that may run one request.
 	Public        bool          // Requests need no API key.
 	Resumable     bool          // A stream may continue on another endpoint.
+	// AllowedRegions are the regions whose endpoints may receive requests of the route; empty for all.
+	AllowedRegions []string
 }
 
 // Idempotent reports whether a request may run more than once.
@@ -96,6 +98,8 @@
 	Burst         float64 // Units.
 	CountsTokens  bool    // Units are tokens; otherwise requests.
 	DefaultTokens float64 // Units of a request without a token count.
+	// AllowedRegions are the regions whose endpoints may receive the organisation's requests; empty for all.
+	AllowedRegions []string
 }
 
 // Limits bounds what a caller may send.
--- a/internal/refusal/new.go
+++ b/internal/refusal/new.go
@@ -43,6 +43,7 @@
 	CodeResponseNotStored:    {http.StatusConflict, TypeConflict},
 	CodeStreamNotResumable:   {http.StatusServiceUnavailable, TypeUnavailable},
 	CodeEvacuated:            {http.StatusServiceUnavailable, TypeUnavailable},
+	CodeNoAllowedRegion:      {http.StatusServiceUnavailable, TypeUnavailable},
 }
 
 // New returns a refusal with the status and type of its code. The message is one
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -80,6 +80,7 @@
 	CodeResponseNotStored    Code = "answer_not_kept"
 	CodeStreamNotResumable   Code = "stream_not_resumable"
 	CodeEvacuated            Code = "evacuated"
+	CodeNoAllowedRegion      Code = "no_allowed_region"
 )
 
 // Refusal is the response to a request that has no result. It implements error, so
--- a/internal/router/domains.go
+++ b/internal/router/domains.go
@@ -30,9 +30,38 @@
 	return d.config.Phase(v.Evacuations, domain, now) == evacuation.Closed
 }
 
-// eligible returns the endpoints of the request's service in the failure domains that the request may use now.
-func (r *Router) eligible(v *catalog.View, q *request, now time.Time) []*catalog.Endpoint {
+// inAllowedRegions returns the endpoints of the request's service in the regions that both its route and its
+// organisation allow.
+func (r *Router) inAllowedRegions(v *catalog.View, q *request) []*catalog.Endpoint {
 	list := v.Endpoints[q.service.Name]
+	for _, allowed := range q.allowedRegions() {
+		var in []*catalog.Endpoint
+		for _, ep := range list {
+			if region, known := r.settings.Regions[ep.FailureDomain]; known && slices.Contains(allowed, region) {
+				in = append(in, ep)
+			}
+		}
+		list = in
+	}
+	return list
+}
+
+// allowedRegions returns the lists of regions that restrict the request; all of them apply.
+func (q *request) allowedRegions() [][]string {
+	var out [][]string
+	if q.route != nil && len(q.route.AllowedRegions) > 0 {
+		out = append(out, q.route.AllowedRegions)
+	}
+	if q.org != nil && len(q.org.AllowedRegions) > 0 {
+		out = append(out, q.org.AllowedRegions)
+	}
+	return out
+}
+
+// eligible returns the endpoints of the request's service in the regions and the failure domains that the request may
+// use now.
+func (r *Router) eligible(v *catalog.View, q *request, now time.Time) []*catalog.Endpoint {
+	list := r.inAllowedRegions(v, q)
 	if v.Evacuations == nil {
 		return list
 	}
@@ -74,6 +103,10 @@
 	if len(v.Endpoints[q.service.Name]) == 0 || len(r.eligible(v, q, time.Now())) > 0 {
 		return true
 	}
+	if len(r.inAllowedRegions(v, q)) == 0 {
+		r.refuse(q, refusal.CodeNoAllowedRegion, "No endpoint of the service is in a region that the request may use.", maxRetryAfter)
+		return false
+	}
 	r.refuse(q, refusal.CodeEvacuated, "All endpoints of the service are in failure domains that are being evacuated.", maxRetryAfter)
 	return false
 }
--- a/internal/router/domains_test.go
+++ b/internal/router/domains_test.go
@@ -94,3 +94,26 @@
 		t.Errorf("status afterwards = %d, want 200", got)
 	}
 }
+
+// A restricted request must not reach an endpoint outside of the regions that both its route and its organisation
+// allow, nor one whose region is unknown. Other requests use all endpoints.
+func TestRequestsStayInAllowedRegions(t *testing.T) {
+	r := routerWithDomains(t)
+	r.settings.Regions = map[string]string{"a": "north", "b": "south"}
+	for _, tc := range []struct {
+		route, org []string
+		want       []string
+	}{
+		{nil, nil, []string{"a", "b", "c"}},
+		{[]string{"north"}, nil, []string{"a"}},
+		{nil, []string{"south", "west"}, []string{"b"}},
+		{[]string{"north", "south"}, []string{"south"}, []string{"b"}},
+		{[]string{"north"}, []string{"south"}, nil},
+		{[]string{""}, nil, nil},
+	} {
+		q := &request{route: &catalog.Route{AllowedRegions: tc.route}, org: &catalog.Organisation{AllowedRegions: tc.org}}
+		if got := domainsOf(r, q); !slices.Equal(got, tc.want) {
+			t.Errorf("route %v, organisation %v: domains = %v, want %v", tc.route, tc.org, got, tc.want)
+		}
+	}
+}
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -25,8 +25,11 @@
 	// EvacuateBound is the time after the start of an evacuation from which no request may reach the failure domain. If it
 	// is not set, defaultEvacuateBound applies, and adapters of lost engines are not replaced ahead of the requests.
 	EvacuateBound settings.OptionalDuration
-	RetryRatio    float64 // Retries per request that all routers together may make.
-	RetryBurst    float64 // Retries beyond the ratio that all routers together may make in any window.
+	// Regions are the regions of the failure domains. Endpoints of other domains get no requests that are restricted to
+	// regions.
+	Regions    settings.StringMap
+	RetryRatio float64 // Retries per request that all routers together may make.
+	RetryBurst float64 // Retries beyond the ratio that all routers together may make in any window.
 }
 
 // defaultEvacuateBound is the bound of today's deployments.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -59,3 +59,18 @@
 		t.Error("a duration without a unit is valid")
 	}
 }
+
+func TestStringMap(t *testing.T) {
+	for text, want := range map[string]int{"": 0, "{}": 0, "null": 0, `{"a":"north","b":"south"}`: 2} {
+		var m StringMap
+		if err := m.Set(text); err != nil || len(m) != want {
+			t.Errorf("%q: map = %v, error %v, want %d entries", text, m, err, want)
+		}
+	}
+	for _, text := range []string{"a=north", `["a"]`, `{"a":1}`} {
+		var m StringMap
+		if err := m.Set(text); err == nil {
+			t.Errorf("%q is valid", text)
+		}
+	}
+}
