scheduler: preload adapters ahead of their requests

When engines are evacuated or lost, the adapters that only they held are loaded again only once requests wait for them.

POST /preload names an adapter and the demand expected for it. It never evicts an adapter in use.

--- a/internal/policy/grants/machine.go
+++ b/internal/policy/grants/machine.go
@@ -65,6 +65,7 @@
 	adapters         map[catalog.AdapterKey]*adapter
 	recentlyUnloaded []catalog.AdapterKey             // Oldest first.
 	reloads          map[catalog.AdapterKey]time.Time // Adapters to load again, with the time after which they are not.
+	preloads         []preload                        // Oldest first.
 	queue            []*queuedRequest
 	grants           map[RequestID]*activeGrant
 	grantedTokens    int // Prompt and output tokens of the active grants.
--- a/internal/policy/grants/machine_test.go
+++ b/internal/policy/grants/machine_test.go
@@ -193,6 +193,9 @@
 				e.delayed = e.delayed[1:]
 			}
 		},
+		"preload": func(t *rapid.T) {
+			m.Preload(adapterKey(rapid.IntRange(0, 6).Draw(t, "adapter")), rapid.IntRange(0, 8).Draw(t, "demand"), now)
+		},
 		"load ends": func(*rapid.T) { e.finishLoads() },
 		"report":    func(*rapid.T) { m.ApplyReport(e.report(incarnation), now) },
 		"announce": func(t *rapid.T) {
--- a/internal/policy/grants/orders.go
+++ b/internal/policy/grants/orders.go
@@ -145,7 +145,8 @@
 
 // adapterOrder returns the next adapter order: the unload of a replaced version,
 // the load of the first adapter that a queued request needs, or the unload that
-// frees a slot for it. If no queued request needs a load, it returns a reload.
+// frees a slot for it. If no queued request needs a load, it returns a reload or
+// the order for a preload.
 func (m *Machine) adapterOrder(now time.Time) (Order, bool) {
 	if o, ok := m.replaceOrder(now); ok {
 		return o, true
@@ -166,7 +167,10 @@
 		}
 		return Order{}, false
 	}
-	return m.reloadOrder(now)
+	if o, ok := m.reloadOrder(now); ok {
+		return o, true
+	}
+	return m.preloadOrder(now)
 }
 
 // reloadOrder returns the load of an adapter whose former version was unloaded.
--- a/internal/scheduler/counters.go
+++ b/internal/scheduler/counters.go
@@ -44,6 +44,11 @@
 	c.scope.Tagged(map[string]string{"kind": kind, "outcome": outcome.String()}).Counter("orders_total").Inc(1)
 }
 
+// recordPreload counts a preload.
+func (c *Counters) recordPreload(result grants.PreloadResult) {
+	c.scope.Tagged(map[string]string{"result": string(result)}).Counter("preloads_total").Inc(1)
+}
+
 // recordDecision counts a grant or a refusal.
 func (c *Counters) recordDecision(d grants.Decision) {
 	if !d.Granted {
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -292,6 +292,12 @@
 	return request.ID, decision
 }
 
+// Preload requests the load of an adapter ahead of its requests.
+func (e *Engine) Preload(key catalog.AdapterKey, demand int) (result grants.PreloadResult) {
+	e.update(func(now time.Time) { result = e.machine.Preload(key, demand, now) })
+	return result
+}
+
 // Release ends a grant, or withdraws a request that still waits.
 func (e *Engine) Release(id grants.RequestID) {
 	e.update(func(now time.Time) {
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -30,6 +30,7 @@
 	r.Post(schedulerapi.PathGrant, e.serveGrant)
 	r.Get(schedulerapi.PathSnapshots, e.serveSnapshots)
 	r.Get(schedulerapi.PathIncarnation, e.serveIncarnation)
+	r.Post(schedulerapi.PathPreload, e.servePreload)
 	e.streamRecords.Mount(r)
 	e.crashRecords.Mount(r)
 	return r
@@ -88,6 +89,20 @@
 	writeLine(w, schedulerapi.Incarnation{Incarnation: report.Incarnation})
 }
 
+// servePreload passes a preload on to the machine. The response does not wait for the load.
+func (e *Engine) servePreload(w http.ResponseWriter, r *http.Request) {
+	var req schedulerapi.PreloadRequest
+	if !schedulerapi.DecodeRequest(w, r, schedulerapi.MaxPreloadBytes, &req) {
+		return
+	}
+	result := e.Preload(catalog.AdapterKey{Model: req.Model, Adapter: req.Adapter}, req.Demand)
+	e.counters.recordPreload(result)
+	e.log.WithFields(logrus.Fields{
+		"event": "preload", "model": req.Model, "adapter": req.Adapter, "demand": req.Demand, "result": string(result),
+	}).Info("preload requested")
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // logDecision logs refusals and grants after an adapter load. The router's log line covers all
 // other grants.
 func (e *Engine) logDecision(req schedulerapi.GrantRequest, d grants.Decision) {
--- a/internal/scheduler/server_test.go
+++ b/internal/scheduler/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,3 +114,19 @@
 		}
 	})
 }
+
+// A call of a preload must not wait for the load, and a malformed one must not reach the machine.
+func TestPreloadIsAnsweredAtOnce(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e := NewEngine(nil, grants.DefaultConfig(), logrus.NewEntry(log), NewCounters(tally.NoopScope))
+	for body, want := range map[string]int{
+		`{"model":"base","adapter":"a"}`: http.StatusNoContent, `{"adapter":1}`: http.StatusBadRequest,
+	} {
+		w := httptest.NewRecorder()
+		e.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, schedulerapi.PathPreload, strings.NewReader(body)))
+		if w.Code != want {
+			t.Errorf("%s: status %d, want %d", body, w.Code, want)
+		}
+	}
+}
--- a/internal/schedulerapi/schedulerapi.go
+++ b/internal/schedulerapi/schedulerapi.go
@@ -23,6 +23,7 @@
 	PathGrant       = "/turns"
 	PathSnapshots   = "/snapshots"   // A stream of grants.SnapshotDelta.
 	PathIncarnation = "/incarnation" // Responds with an Incarnation.
+	PathPreload     = "/preload"     // Takes a PreloadRequest.
 )
 
 // GrantRequest requests the right to run one request on an engine.
@@ -49,6 +50,14 @@
 	LoadMS int64 `json:"loadMs"`
 }
 
+// PreloadRequest requests the load of an adapter ahead of its requests. The scheduler responds at once, and drops it
+// after 2 s, or if the engine holds the adapter.
+type PreloadRequest struct {
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+	Demand  int    `json:"demand,omitempty"` // Expected requests per second: idle adapters of a lower demand give way.
+}
+
 // Incarnation is the engine's incarnation by a report that its scheduler has read for the call.
 type Incarnation struct {
 	Incarnation int64 `json:"born"`
@@ -95,7 +104,8 @@
 // Bounds of the bodies of calls between processes, in bytes.
 const (
 	MaxGrantRequestBytes = 64 << 10 // A grant request with a prompt of 100 parts takes 5 KB.
-	MaxPeerCallBytes     = 4 << 10  // Calls between routers contain an organisation or an endpoint.
+	MaxPreloadBytes      = 1 << 10
+	MaxPeerCallBytes     = 4 << 10 // Calls between routers contain an organisation or an endpoint.
 )
 
 // DecodeRequest decodes the JSON body of a call, of at most maxBytes bytes, into dst. If that
