router: replace adapters of evacuated and lost engines ahead of requests

Adapters that only an evacuated or lost engine held were loaded again once requests waited for them, all at once.

--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -22,6 +22,8 @@
 	endpointPushbacks tally.Counter // Refusals with a Retry-After of endpoints that were in use.
 	partsRefused      tally.Counter // Requests refused because of a prompt part on which engines crash.
 	evacuatedDomains  tally.Gauge   // Failure domains whose evacuation key stands.
+	preloadsOrdered   tally.Counter // Preloads that schedulers took.
+	preloadsFailed    tally.Counter // Calls of preloads that failed.
 	streamsUnrecorded tally.Counter // Streams that began before any holder had recorded their software version.
 }
 
@@ -44,6 +46,8 @@
 		endpointPushbacks: scope.Counter("endpoint_pushbacks_total"),
 		partsRefused:      scope.Counter("prompt_parts_refused_total"),
 		evacuatedDomains:  scope.Gauge("evacuated_domains"),
+		preloadsOrdered:   scope.Counter("preloads_ordered_total"),
+		preloadsFailed:    scope.Counter("preloads_failed_total"),
 		streamsUnrecorded: scope.Counter("streams_unrecorded_total"),
 	}
 }
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -89,6 +89,13 @@
 	return ep.Draining || state != nil && state.Drains(ep.Incarnation)
 }
 
+// drains reports whether an endpoint takes no new requests.
+func (e *endpointTracker) drains(ep *catalog.Endpoint) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isDraining(ep)
+}
+
 // pushbackWait returns how long an endpoint wants no requests. The caller holds e.mu.
 func (e *endpointTracker) pushbackWait(ep *catalog.Endpoint, now time.Time) time.Duration {
 	state := e.availability[ep.ID]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -166,6 +166,7 @@
 	base.Add(catalog.Expirer{State: r.state, Log: r.log})
 	base.Add(r.peers)
 	base.Add(service{"sync", r.syncLoop})
+	base.Add(service{"replacement", (&replacer{router: r, services: make(map[string]*serviceReplacement)}).run})
 	base.Add(service{"crash records", r.crashRecords.run})
 	frontGrace := r.settings.ShutdownGrace - r.stopper.acceptDuration() - drainMargin
 	front := process.NewSupervisor("front", r.log, frontGrace)
