replacement: ignore schedulers that have no report of their engine yet

It counted as a new incarnation, so that the adapters of a sound engine were preloaded elsewhere.

Such an observation now leaves what is known of the engine as it is. The case 'scheduler restarts' failed before.

--- a/internal/policy/replacement/replacement.go
+++ b/internal/policy/replacement/replacement.go
@@ -31,9 +31,9 @@
 // Observation is what a router knows of an engine.
 type Observation struct {
 	Address     string
-	Incarnation int64
-	Usable      bool // A fresh snapshot says that the engine takes requests.
-	Evacuated   bool // Its failure domain is being evacuated.
+	Incarnation int64 // 0 if unknown.
+	Usable      bool  // A fresh snapshot says that the engine takes requests.
+	Evacuated   bool  // Its failure domain is being evacuated.
 	Adapters    []grants.AdapterState
 }
 
@@ -94,6 +94,12 @@
 // observe records the state of one engine.
 func (t *Tracker) observe(o Observation, now time.Time) {
 	known, ok := t.engines[o.Address]
+	if o.Incarnation == 0 { // The scheduler has started and has no report of the engine yet.
+		if !o.Evacuated {
+			return
+		}
+		o.Incarnation = known.incarnation
+	}
 	if ok && known.incarnation != o.Incarnation {
 		t.lose(o.Address, known, now)
 		ok = false
--- a/internal/policy/replacement/replacement_test.go
+++ b/internal/policy/replacement/replacement_test.go
@@ -50,6 +50,7 @@
 		"unchanged":             {[]Observation{x, y}, []Missing{}},
 		"gone":                  {[]Observation{y}, busy},
 		"not usable":            {[]Observation{changed(func(o *Observation) { o.Usable = false }), y}, busy},
+		"scheduler restarts":    {[]Observation{changed(func(o *Observation) { o.Incarnation, o.Usable, o.Adapters = 0, false, nil }), y}, []Missing{}},
 		"new incarnation":       {[]Observation{changed(func(o *Observation) { o.Incarnation, o.Adapters = 2, nil }), y}, busy},
 		"evacuated":             {[]Observation{changed(func(o *Observation) { o.Evacuated = true }), y}, both},
 		"evacuated, less asked": {[]Observation{changed(func(o *Observation) { o.Evacuated, o.Adapters = true, adapters(map[string]int{"busy": 1}) }), y}, both},
--- a/internal/router/domains_test.go
+++ b/internal/router/domains_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,17 +20,19 @@
 	r.domains.config.Return = time.Minute
 	for _, d := range []string{"a", "b", "c"} {
 		r.state.SetEndpoint(&catalog.Endpoint{ID: catalog.EndpointID("engine-" + d), Service: "llm", Address: "127.0.0.1:" + d, FailureDomain: d})
+		r.schedulerConns.byAddress["127.0.0.1:"+d] = &schedulerConn{}
 	}
 	r.state.MarkListed()
 	return r
 }
 
-// domainsOf returns the failure domains that a request of the service llm may use.
+// domainsOf returns the failure domains of the engines that are candidates for a request of the service llm, with and
+// without a grant.
 func domainsOf(r *Router, q *request) []string {
 	q.service = &catalog.Service{Name: "llm"}
 	var out []string
-	for _, ep := range r.eligible(r.state.View(), q, time.Now()) {
-		out = append(out, ep.FailureDomain)
+	for _, e := range r.engineCandidates(r.state.View(), q, time.Now()) {
+		out = append(out, e.FailureDomain)
 	}
 	slices.Sort(out)
 	return out
@@ -73,8 +76,9 @@
 	}
 	w := httptest.NewRecorder()
 	r.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://forge.example/brief/x", nil))
-	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Hyssop-Ran") != "no" || w.Header().Get("Retry-After") == "" {
-		t.Errorf("status %d, headers %v; want 503, not run, with Retry-After", w.Code, w.Header())
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Hyssop-Ran") != "no" || w.Header().Get("Retry-After") == "" ||
+		!strings.Contains(w.Body.String(), `"evacuated"`) {
+		t.Errorf("status %d, headers %v, body %s; want 503, evacuated, not run, with Retry-After", w.Code, w.Header(), w.Body)
 	}
 }
 
