router: use a returning domain at once if all others only drain

A request that was not yet admitted to a returning domain was refused if the endpoints of all open domains drained.

Draining endpoints do not count when the open domains are determined. The zero Use is UseNot, so that a domain that was not considered is never used; former incarnations are recognised by all registered endpoints, not the eligible ones.

Test: TestReturningDomainIsUsedAtOnceIfTheOthersDrain.

--- a/internal/policy/evacuation/evacuation.go
+++ b/internal/policy/evacuation/evacuation.go
@@ -150,12 +150,12 @@
 
 // Values of Use.
 const (
-	UseFreely   Use = iota
+	UseNot      Use = iota
 	UseLastOnly     // Only if its adapter is usable nowhere else.
-	UseNot
+	UseFreely
 )
 
-// Uses returns how a request may use each of the domains that serve it. seed is a random number of the request:
+// Uses returns how a request may use each of the domains that serve it; UseNot for others. seed is a random number of the request:
 // while a domain returns, the same request is always admitted from the same moment on. If none of the domains is
 // open, those that return are used at once.
 func (c Config) Uses(s *State, domains []string, seed uint64, now time.Time) map[string]Use {
@@ -163,18 +163,15 @@
 	anyOpen := slices.ContainsFunc(domains, func(d string) bool { return c.Phase(s, d, now) == Open })
 	for _, d := range domains {
 		switch c.Phase(s, d, now) {
-		case Closed:
-			uses[d] = UseNot
+		case Open:
+			uses[d] = UseFreely
 		case HandingOver:
 			uses[d] = UseLastOnly
 		case Returning:
-			if anyOpen && draw(seed, d) >= c.returned(s, d, now) {
-				uses[d] = UseNot
+			if !anyOpen || draw(seed, d) < c.returned(s, d, now) {
+				uses[d] = UseFreely
 			}
-		case Open:
-		}
-		if _, ok := uses[d]; !ok {
-			uses[d] = UseFreely
+		case Closed:
 		}
 	}
 	return uses
--- a/internal/router/domains.go
+++ b/internal/router/domains.go
@@ -65,9 +65,9 @@
 	if v.Evacuations == nil {
 		return list
 	}
-	var names []string
+	var names []string // A returning domain is used at once if all others only have endpoints that drain.
 	for _, ep := range list {
-		if !slices.Contains(names, ep.FailureDomain) {
+		if !slices.Contains(names, ep.FailureDomain) && !r.endpointTracker.drains(ep) {
 			names = append(names, ep.FailureDomain)
 		}
 	}
--- a/internal/router/domains_test.go
+++ b/internal/router/domains_test.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// A domain that returns is used by all requests at once if the endpoints of all other domains drain. Otherwise most
+// requests at first avoid it.
+func TestReturningDomainIsUsedAtOnceIfTheOthersDrain(t *testing.T) {
+	r := routerWithDomains(t)
+	r.state.BeginEvacuation("a", time.Time{}, time.Now())
+	r.state.EndEvacuation("a", false, time.Now())
+	if got := domainsOf(r, &request{}); !slices.Equal(got, []string{"b", "c"}) {
+		t.Errorf("domains right after the return = %v, want [b c]", got)
+	}
+	for _, d := range []string{"b", "c"} {
+		r.state.SetEndpoint(&catalog.Endpoint{
+			ID: catalog.EndpointID("engine-" + d), Service: "llm", Address: "127.0.0.1:" + d, FailureDomain: d, Draining: true, Heartbeat: 1,
+		})
+	}
+	if got := domainsOf(r, &request{}); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("domains while the others drain = %v, want [a]", got)
+	}
+}
+
 // A request whose service has endpoints in closed domains only is refused at once with the promise that it did not
 // run, not after the wait for a grant.
 func TestRequestIsRefusedAtOnceIfAllDomainsAreClosed(t *testing.T) {
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -216,7 +216,7 @@
 // engineCandidates returns the usable engines of the request's service that have a scheduler
 // connection.
 func (r *Router) engineCandidates(v *catalog.View, q *request, now time.Time) []routing.Engine {
-	list := r.eligible(v, q, now)
+	registered, list := v.Endpoints[q.service.Name], r.eligible(v, q, now)
 	out := make([]routing.Engine, 0, len(list))
 	for _, ep := range list {
 		conn := r.schedulerConns.conn(ep.Address)
@@ -225,7 +225,7 @@
 		}
 		health := r.endpointTracker.healthOf(ep)
 		state := conn.state(now)
-		if isFormer(ep, state.snapshot.Incarnation, list) {
+		if isFormer(ep, state.snapshot.Incarnation, registered) {
 			continue
 		}
 		out = append(out, routing.Engine{
