--- a/internal/requesttrace/requesttrace.go
+++ b/internal/requesttrace/requesttrace.go
@@ -149,7 +149,7 @@
 var stateEvents = []string{
 	"endpoint", "endpoint_gone", "engine_lost", "engine_up", "scheduler_lost", "scheduler_up", "crash", "config",
 	"quota_home", "quota_home_silent", "drain", "drain_closed", "start", "stop", "router_gone", "endpoint_rate_limit",
-	"store_restored", "endpoint_draining", "endpoint_pushback", "endpoint_expired", "prompt_part",
+	"store_restored", "endpoint_draining", "endpoint_pushback", "endpoint_expired", "prompt_part", "evacuation",
 }
 
 // changesState reports whether l records a state change of the subjects. A change
