router: skip the selection of domains while all are open

After the end of an evacuation each request still went through the selection, since the end is known for 10 minutes.

Tests: the property test compares AllOpen with Uses; TestUnknownDomainIsLogged guards the requirement that a key of an unknown domain only writes a line.

--- a/internal/policy/evacuation/evacuation.go
+++ b/internal/policy/evacuation/evacuation.go
@@ -145,6 +145,19 @@
 	}
 }
 
+// AllOpen reports whether all domains are open.
+func (c Config) AllOpen(s *State, now time.Time) bool {
+	if s == nil {
+		return true
+	}
+	for domain := range s.byDomain {
+		if c.Phase(s, domain, now) != Open {
+			return false
+		}
+	}
+	return true
+}
+
 // Use states how one request may use a failure domain.
 type Use int
 
--- a/internal/policy/evacuation/evacuation_test.go
+++ b/internal/policy/evacuation/evacuation_test.go
@@ -77,6 +77,9 @@
 			if config.Phase(s, d, at(now)) == Closed {
 				closed++
 			}
+			if config.AllOpen(s, at(now)) && uses[d] != UseFreely {
+				t.Fatalf("use of %s while all domains are open = %d, want free use", d, uses[d])
+			}
 		}
 		if closed < len(domains) && !slices.ContainsFunc(domains, func(d string) bool { return uses[d] != UseNot }) {
 			t.Fatal("no domain is used, although not all of them are closed")
--- a/internal/router/domains.go
+++ b/internal/router/domains.go
@@ -62,7 +62,7 @@
 // use now.
 func (r *Router) eligible(v *catalog.View, q *request, now time.Time) []*catalog.Endpoint {
 	list := r.inAllowedRegions(v, q)
-	if v.Evacuations == nil {
+	if r.domains.config.AllOpen(v.Evacuations, now) {
 		return list
 	}
 	var names []string // A returning domain is used at once if all others only have endpoints that drain.
--- a/internal/router/domains_test.go
+++ b/internal/router/domains_test.go
@@ -101,6 +101,23 @@
 	}
 }
 
+// The key of an unknown failure domain must have no effect but a line in the log.
+func TestUnknownDomainIsLogged(t *testing.T) {
+	r := routerWithDomains(t)
+	var lines strings.Builder
+	r.log.Logger.SetOutput(&lines)
+	r.state.BeginEvacuation("typo", time.Time{}, time.Now())
+	for range 2 {
+		r.logPhases(r.state.View(), time.Now())
+	}
+	if strings.Count(lines.String(), "without endpoints has no effect") != 1 {
+		t.Errorf("log = %q, want one warning", lines.String())
+	}
+	if got := domainsOf(r, &request{}); !slices.Equal(got, []string{"a", "b", "c"}) {
+		t.Errorf("domains = %v, want all", got)
+	}
+}
+
 // A router must not become ready with a configuration but without the evacuations, which are listed after it.
 func TestRouterIsReadyOnlyOnceOperatorItemsAreListed(t *testing.T) {
 	r := routerWithDomains(t)
