--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -89,6 +89,13 @@
 	return ep.Draining || state != nil && state.Drains(ep.Incarnation)
 }
 
+// drains reports whether an endpoint takes no new requests.
+func (e *endpointTracker) drains(ep *catalog.Endpoint) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isDraining(ep)
+}
+
 // pushbackWait returns how long an endpoint wants no requests. The caller holds e.mu.
 func (e *endpointTracker) pushbackWait(ep *catalog.Endpoint, now time.Time) time.Duration {
 	state := e.availability[ep.ID]
@@ -209,7 +216,7 @@
 // engineCandidates returns the usable engines of the request's service that have a scheduler
 // connection.
 func (r *Router) engineCandidates(v *catalog.View, q *request, now time.Time) []routing.Engine {
-	list := v.Endpoints[q.service.Name]
+	registered, list := v.Endpoints[q.service.Name], r.eligible(v, q, now)
 	out := make([]routing.Engine, 0, len(list))
 	for _, ep := range list {
 		conn := r.schedulerConns.conn(ep.Address)
@@ -218,7 +225,7 @@
 		}
 		health := r.endpointTracker.healthOf(ep)
 		state := conn.state(now)
-		if isFormer(ep, state.snapshot.Incarnation, list) {
+		if isFormer(ep, state.snapshot.Incarnation, registered) {
 			continue
 		}
 		out = append(out, routing.Engine{
