Catalog, platform: read the cold time of endpoints and the settings of services

Cause: registry entries state in cold-ms how long an endpoint remains cold, and a service names the rate of its cold endpoints; both were ignored. The remaining time decreases with each heartbeat, and must not turn heartbeats into changes for relays. Change: cold-start-s and cold-per-s are in catalog.Service, cold-ms is in catalog.Endpoint; State keeps until when an incarnation is cold. EqualsExceptHeartbeat takes the time. platform.IsHeartbeat compares the end with what other processes know, and so returns a function with that state.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -131,6 +131,41 @@
 	}
 }
 
+// The remaining cold time counts from its receipt, the latest end applies within an incarnation, and a new one
+// discards it. A heartbeat that only counts down builds no new View.
+func TestColdTimeOfIncarnation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	began := now
+	s := NewState()
+	s.now = func() time.Time { return now }
+	for i, step := range []struct {
+		at          time.Duration
+		incarnation int64
+		cold        time.Duration
+		changes     bool
+		until       time.Duration // Since began; 0 if the endpoint is not cold.
+	}{
+		{0, 1, 3 * time.Second, true, 3 * time.Second},
+		{time.Second, 1, 2 * time.Second, false, 3 * time.Second},
+		{2 * time.Second, 1, 0, false, 3 * time.Second},
+		{3 * time.Second, 1, 400 * time.Millisecond, true, 3400 * time.Millisecond},
+		{3200 * time.Millisecond, 1, 700 * time.Millisecond, false, 3400 * time.Millisecond},
+		{3300 * time.Millisecond, 1, 700 * time.Millisecond, true, 4 * time.Second},
+		{3400 * time.Millisecond, 2, 0, true, 0},
+		{3500 * time.Millisecond, 2, time.Second, true, 4500 * time.Millisecond},
+	} {
+		now = began.Add(step.at)
+		changed := s.SetEndpoint(&Endpoint{ID: "e", Service: "s", Incarnation: step.incarnation, Heartbeat: int64(i), Cold: step.cold})
+		got, want := s.View().FindEndpoint("s", "e").ColdUntil, time.Time{}
+		if step.until > 0 {
+			want = began.Add(step.until)
+		}
+		if changed != step.changes || !got.Equal(want) {
+			t.Errorf("step %d: changed = %t, cold until %v; want %t and %v", i, changed, got, step.changes, want)
+		}
+	}
+}
+
 // A registration in a restored store counts only if it is newer than the last known one, also
 // if the endpoint has been removed since.
 func TestRestoredRegistrationMustBeNewer(t *testing.T) {
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -6,6 +6,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/coldstart"
 )
 
 // Kind states how often a request may run.
@@ -86,6 +88,7 @@
 type Service struct {
 	Name   string
 	Engine *EngineCapacity // Nil for a plain service.
+	Cold   coldstart.Settings
 }
 
 // Organisation owns API keys and has a quota, which applies to all VMs together.
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -172,15 +172,17 @@
 
 // setEndpoint adds or updates an endpoint. The caller holds s.mu.
 func (s *State) setEndpoint(e *Endpoint) bool {
+	now := s.now()
+	e = e.receivedAt(now, s.latest[e.ID])
 	delete(s.expiring, e.ID)
 	delete(s.removed, e.ID)
 	s.latest[e.ID] = e
 	old := s.endpoints[e.ID]
-	if old != nil && old.EqualsExceptHeartbeat(e) {
+	if old != nil && old.EqualsExceptHeartbeat(e, now) {
 		return false
 	}
 	if old != nil {
-		s.softwareOf(old.Service).Remove(old.SoftwareVersion, s.now())
+		s.softwareOf(old.Service).Remove(old.SoftwareVersion, now)
 	}
 	s.softwareOf(e.Service).Add(e.SoftwareVersion)
 	s.endpoints[e.ID] = e
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -91,7 +91,7 @@
 	r.relays = relay.NewRelays(s.VM, s.FailureDomain, r.newTransport("relays", 0), metrics.Scope.SubScope("changes"), log)
 	r.changes = relay.NewServer(map[string]*catalog.ChangeLog{
 		relay.TopicOperator: catalog.NewChangeLog(nil),
-		relay.TopicRegistry: catalog.NewChangeLog(platform.IsHeartbeat),
+		relay.TopicRegistry: catalog.NewChangeLog(platform.IsHeartbeat(time.Now)),
 		relay.TopicRouters:  catalog.NewChangeLog(nil),
 	})
 	r.peers = quota.NewPeers(s.VM, r.newTransport("routers", quota.ResponseDelay), log)
