Grants, scheduler: pace grants to a cold engine

Cause: an engine that has just started crashes well above cold-per-s, and its scheduler granted as to a warm one. Change: the machine counts grants with a second limiter at the rate of a cold engine while coldstart.Tracker says that it is cold; the lower of it and a named limit counts, and both waits show in RateWaitMS. Refusals for it are engine_cold, with a wait of at most the rest of the cold time. A grant request has coldMs and is not granted before the first report of the incarnation that it names, so that a scheduler that has not noticed the restart paces it too. The reply to a grant has coldMs. Log line endpoint_cold, counter cold_refused. Without cold-per-s nothing changes.

--- a/internal/policy/grants/machine.go
+++ b/internal/policy/grants/machine.go
@@ -8,6 +8,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/millis"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/coldstart"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 )
 
@@ -73,6 +74,8 @@
 	lateEvents       lateEvents
 	demands          demands
 	rate             ratelimit.Limiter // Counts the grants of this incarnation.
+	coldRate         ratelimit.Limiter // The same, at the rate of a cold engine while the engine is cold.
+	cold             coldstart.Tracker
 
 	meanRunTime time.Duration // Moving average.
 	outstanding *Order
@@ -194,6 +197,7 @@
 	if r.Incarnation != m.incarnation || r.Sequence < m.sequence {
 		m.lateLoads, m.unknownLoads = append(m.lateLoads, m.unknownLoads...), nil
 		m.resetIncarnation(r)
+		m.cold.Start(r.Incarnation, now)
 	}
 	m.outdatedReport = false
 	m.alive, m.needsReport = true, false
@@ -219,6 +223,42 @@
 	}
 }
 
+// ObserveCold merges how long an incarnation of the engine remains cold, as a router states it.
+func (m *Machine) ObserveCold(incarnation int64, remaining time.Duration, now time.Time) {
+	m.cold.Observe(incarnation, remaining, now)
+}
+
+// Cold returns until when the engine is cold.
+func (m *Machine) Cold() coldstart.Cold { return m.cold.Cold(m.limits.Cold) }
+
+// paceCold sets the rate of a cold engine while the engine is cold, and withdraws it afterwards.
+func (m *Machine) paceCold(now time.Time) {
+	limit := ratelimit.Limit{}
+	if m.Cold().Remaining(now) > 0 {
+		limit = ratelimit.Limit{Named: true, PerSecond: m.limits.Cold.PerSecond}
+	}
+	m.coldRate.Observe(ratelimit.FromCold, ratelimit.Observation{Limit: limit, At: now})
+}
+
+// rateWait returns how long the rates let a request wait that has a number of others ahead of it, and the reason for
+// a refusal because of it. All of them may start at the latest when the engine is no longer cold.
+func (m *Machine) rateWait(ahead int, now time.Time) (time.Duration, Refusal) {
+	m.paceCold(now)
+	wait := m.rate.Wait(ahead, now)
+	if cold := min(m.coldRate.Wait(ahead, now), m.Cold().Remaining(now)); cold > wait {
+		return cold, RefusalCold
+	}
+	return wait, RefusalRateLimited
+}
+
+// takeRate counts a grant if the rates permit one.
+func (m *Machine) takeRate(now time.Time) bool {
+	if wait, _ := m.rateWait(0, now); wait > 0 {
+		return false
+	}
+	return m.rate.Take(now) && m.coldRate.Take(now)
+}
+
 // RateLimit returns the engine's rate limit in force.
 func (m *Machine) RateLimit() ratelimit.Limit { return m.rate.Limit() }
 
@@ -286,7 +326,7 @@
 	m.prompts.clear()
 	m.prefills.clear()
 	m.lateEvents = lateEvents{}
-	m.rate = ratelimit.Limiter{}
+	m.rate, m.coldRate = ratelimit.Limiter{}, ratelimit.Limiter{}
 	m.draining, m.pausedUntil = false, time.Time{}
 	for _, g := range m.grants {
 		m.grantedTokens -= g.request.PromptTokens + g.request.MaxOutputTokens
@@ -363,12 +403,12 @@
 	stillQueued := m.queue[:0]
 	queuedMS := 0.0
 	for _, q := range m.queue {
-		rateWait := m.rate.Wait(len(stillQueued), now)
+		rateWait, refusal := m.rateWait(len(stillQueued), now)
 		switch {
-		case m.canRun(q, now) && m.rate.Take(now):
+		case m.canRun(q, now) && m.takeRate(now):
 			m.grant(q, now)
 		case rateWait > 0 && q.exceedsMaxWait(rateWait, now):
-			m.refuseQueued(q, RefusalRateLimited, rateWait, now)
+			m.refuseQueued(q, refusal, rateWait, now)
 		case q.exceedsMaxWait(millis.Duration(m.prefills.backlogMS()+queuedMS*m.prefills.slowdown), now):
 			m.refuseQueued(q, RefusalTooLate, m.meanRunTime, now)
 		default:
@@ -428,6 +468,9 @@
 	if !m.usable(r.Key, now) || m.limits.Slots == 0 {
 		return false
 	}
+	if m.limits.Cold.Paces() && r.Incarnation > m.incarnation {
+		return false // The engine has started again, and the first report of the incarnation is still to come.
+	}
 	if len(m.grants) == 0 {
 		return true
 	}
@@ -487,12 +530,12 @@
 	if !m.usable(r.Key, now) {
 		wait = max(wait, m.expectedLoadTime(r)+m.adapterSlotWait(r.Key)+max(m.pausedUntil.Sub(now), 0))
 	}
-	rateWait := m.rate.Wait(len(m.queue), now)
+	rateWait, refusal := m.rateWait(len(m.queue), now)
 	switch accepted := m.acceptedWait(r, prefillMS); {
 	case r.MaxWait <= 0:
 		return max(wait, rateWait), RefusalNone
 	case rateWait > accepted:
-		return rateWait, RefusalRateLimited
+		return rateWait, refusal
 	case wait > accepted:
 		return wait, RefusalTooLate
 	default:
@@ -586,7 +629,7 @@
 		AdapterSlotWaitMS: millis.FromDuration(m.adapterSlotWait(catalog.AdapterKey{Adapter: "\x00"})),
 		LoadingAdapters:   m.loadingAdapters(),
 	}
-	rateWait := m.rate.Wait(len(m.queue), now)
+	rateWait, _ := m.rateWait(len(m.queue), now)
 	s.RateWaitMS = int(rateWait.Milliseconds())
 	for priority := range s.PrefillWaitMS {
 		s.PrefillWaitMS[priority] = int(max(m.prefillWait(Request{Priority: priority}), rateWait).Milliseconds())
--- a/internal/policy/grants/types.go
+++ b/internal/policy/grants/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/coldstart"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 )
 
@@ -73,6 +74,7 @@
 type Request struct {
 	ID              RequestID
 	EngineRequestID string // Request id in the engine's reports.
+	Incarnation     int64  // Incarnation of the engine that the router knows; 0 if unknown.
 	Key             catalog.AdapterKey
 	PromptParts     []PromptPart
 	PromptTokens    int           // Tokens of the prompt.
@@ -100,6 +102,7 @@
 	RefusalEngineUnreachable Refusal = "engine_lost"        // The engine does not respond.
 	RefusalDraining          Refusal = "engine_draining"    // The engine takes no new requests.
 	RefusalRateLimited       Refusal = "engine_rate_limit"  // It would exceed the rate limit that the engine names.
+	RefusalCold              Refusal = "engine_cold"        // It would exceed the rate that a cold engine sustains.
 )
 
 // Decision is the response to a Request.
@@ -120,6 +123,7 @@
 	AdapterSlots int             // Adapters that are resident or loading concurrently.
 	WeightsMB    float64         // Memory for the weights of models and adapters.
 	Models       []catalog.Model // Models that the engine may load.
+	Cold         coldstart.Settings
 }
 
 // Config configures a Machine.
@@ -184,7 +188,7 @@
 	IdleAdapterSlots  int                `json:"idle"`     // Adapter slots that are empty or hold an idle adapter.
 	LoadingAdapters   int                `json:"coming"`   // Adapters that are loading.
 	PrefillWaitMS     [NumPriorities]int `json:"waitMs"`   // Expected wait by priority, for a resident adapter; at least RateWaitMS.
-	RateWaitMS        int                `json:"rateMs"`   // Expected wait because of the engine's rate limit; 0 without one.
+	RateWaitMS        int                `json:"rateMs"`   // Expected wait because of the engine's rate limit or because it is cold; else 0.
 	Slowdown          float64            `json:"slowness"` // Prefill time as a multiple of the time at normal speed.
 	LateEventRate     float64            `json:"slow"`     // Recent fraction of events whose gap exceeded the gap target, 0 to 1.
 	AdapterSlotWaitMS float64            `json:"placeMs"`  // Expected wait for an adapter slot.
--- a/internal/policy/ratelimit/doc.go
+++ b/internal/policy/ratelimit/doc.go
@@ -1,4 +1,5 @@
-// Package ratelimit bounds the requests to an endpoint that names a rate limit in its responses.
+// Package ratelimit bounds the requests to an endpoint that names a rate limit in its responses, or that is
+// cold.
 //
 // Each process that receives responses of the endpoint makes Observations. A Limiter merges them
 // and is the only one that counts the requests of the endpoint.
--- a/internal/policy/ratelimit/limiter.go
+++ b/internal/policy/ratelimit/limiter.go
@@ -19,7 +19,7 @@
 	At    time.Time
 }
 
-// Source is the kind of the responses that an observation was made of. An endpoint may name its
+// Source is the origin of an observation, as the kind of the responses that it was made of. An endpoint may name its
 // limit in one kind only, so a response of one kind withdraws no limit of the other.
 type Source int
 
@@ -27,6 +27,7 @@
 const (
 	FromResponse Source = iota // Responses to requests.
 	FromReport                 // Reports of an engine to its scheduler.
+	FromCold                   // The rate that a cold endpoint sustains, whatever it names itself.
 	numSources
 )
 
--- a/internal/scheduler/counters.go
+++ b/internal/scheduler/counters.go
@@ -13,6 +13,7 @@
 	grants     tally.Counter
 	coldGrants tally.Counter
 	pushbacks  tally.Counter // Calls that the engine refused with a Retry-After.
+	cold       tally.Counter // Grants refused because the engine is cold.
 	scope      tally.Scope
 	grantWait  tally.Histogram
 }
@@ -30,6 +31,7 @@
 		grants:     scope.Counter("turns_granted_total"),
 		coldGrants: scope.Counter("turns_after_load_total"),
 		pushbacks:  scope.Counter("engine_pushbacks_total"),
+		cold:       scope.Counter("cold_refused"),
 		grantWait:  scope.Histogram("turn_wait_seconds", waitBuckets),
 		scope:      scope,
 	}
@@ -48,6 +50,9 @@
 func (c *Counters) recordDecision(d grants.Decision) {
 	if !d.Granted {
 		c.scope.Tagged(map[string]string{"refusal": string(d.Refusal)}).Counter("turns_refused_total").Inc(1)
+		if d.Refusal == grants.RefusalCold {
+			c.cold.Inc(1)
+		}
 		return
 	}
 	c.grants.Inc(1)
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -44,6 +44,7 @@
 // machine and sends the machine's orders to the engine.
 type Engine struct {
 	client   EngineClient
+	service  string // Name of the engine's service, for the log.
 	log      *logrus.Entry
 	counters *Counters
 
@@ -56,7 +57,10 @@
 	failures     int                                       // Consecutive failed reports; used by the Serve loop only.
 	rateLimit    ratelimit.Limit                           // Last logged rate limit of the engine.
 	draining     bool                                      // Last logged state of the engine.
-	pausedUntil  time.Time                                 // The incarnation wants no calls before.
+	coldUntil    time.Time                                 // Last known end of the engine's cold time.
+	// coldIncarnation is the incarnation that coldUntil belongs to.
+	coldIncarnation int64
+	pausedUntil     time.Time // The incarnation wants no calls before.
 
 	streamRecords *streamrecords.Server // Software versions of streams of all engines.
 	crashRecords  *crashrecords.Server  // Requests and prompt parts that crash engines, of all engines.
@@ -66,9 +70,9 @@
 }
 
 // NewEngine returns an Engine that has no report yet.
-func NewEngine(client EngineClient, config grants.Config, log *logrus.Entry, counters *Counters) *Engine {
+func NewEngine(client EngineClient, config grants.Config, service string, log *logrus.Entry, counters *Counters) *Engine {
 	return &Engine{
-		client: client, log: log, counters: counters, machine: grants.New(config),
+		client: client, service: service, log: log, counters: counters, machine: grants.New(config),
 		waiters: make(map[grants.RequestID]chan grants.Decision), wake: make(chan struct{}, 1), changed: newBroadcast(),
 		streamRecords: streamrecords.NewServer(log), crashRecords: crashrecords.NewServer(log),
 	}
@@ -230,6 +234,7 @@
 	change(time.Now())
 	e.logRateLimit()
 	e.logDraining()
+	e.logCold(time.Now())
 	for _, d := range e.machine.TakeDecisions() {
 		if waiter := e.waiters[d.ID]; waiter != nil {
 			delete(e.waiters, d.ID)
@@ -265,15 +270,28 @@
 	e.draining = draining
 }
 
+// logCold logs that the engine has become cold. The caller holds e.mu.
+func (e *Engine) logCold(now time.Time) {
+	cold, incarnation := e.machine.Cold(), e.machine.Incarnation()
+	if remaining := cold.Remaining(now); remaining > 0 && (!e.coldUntil.After(now) || e.coldIncarnation != incarnation) {
+		e.log.WithFields(logrus.Fields{
+			"event": "endpoint_cold", "endpoint": e.endpointID, "service": e.service, "born": incarnation,
+			"ms": remaining.Milliseconds(), "source": cold.Source,
+		}).Info("engine is cold")
+	}
+	e.coldUntil, e.coldIncarnation = cold.Until, incarnation
+}
+
 // RequestGrant requests a grant. The returned channel receives one decision. Release withdraws
 // the request or ends the grant.
 //
 // The router's view may be newer than the scheduler's. version is the adapter version in the
-// router's view, id is the endpoint ID of the given incarnation, and limit is the rate limit in
-// the incarnation's last response to the router.
+// router's view, id is the endpoint ID of the request's incarnation, limit is the rate limit in
+// the incarnation's last response to the router, and cold is how long the incarnation remains cold.
 func (e *Engine) RequestGrant(
-	request grants.Request, version int64, id catalog.EndpointID, incarnation int64, limit ratelimit.Observation,
+	request grants.Request, version int64, id catalog.EndpointID, limit ratelimit.Observation, cold time.Duration,
 ) (grants.RequestID, <-chan grants.Decision) {
+	incarnation := request.Incarnation
 	decision := make(chan grants.Decision, 1)
 	e.update(func(now time.Time) {
 		if incarnation != 0 && incarnation == e.machine.Incarnation() {
@@ -283,6 +301,7 @@
 			e.pausedUntil = time.Time{} // The engine has restarted.
 		}
 		e.machine.ObserveRateLimit(incarnation, limit)
+		e.machine.ObserveCold(incarnation, cold, now)
 		e.machine.AnnounceVersion(request.Key, version, now)
 		e.lastGrantID++
 		request.ID = e.lastGrantID
@@ -329,6 +348,13 @@
 	return e.machine.Incarnation(), e.endpointID != ""
 }
 
+// coldRemaining returns how long the engine remains cold.
+func (e *Engine) coldRemaining() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.Cold().Remaining(time.Now())
+}
+
 // SetEndpointID sets the endpoint ID of an incarnation. It does nothing if the engine
 // has restarted since.
 func (e *Engine) SetEndpointID(incarnation int64, id catalog.EndpointID) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -72,7 +72,7 @@
 	counters := NewCounters(metrics.Scope.SubScope("scheduler"))
 	return &Scheduler{
 		settings: s, log: log, metrics: metrics, state: catalog.NewState(),
-		engine: NewEngine(client, grants.DefaultConfig(), log, counters),
+		engine: NewEngine(client, grants.DefaultConfig(), s.Service, log, counters),
 	}
 }
 
@@ -152,6 +152,6 @@
 	}
 	e := service.Engine
 	return &grants.Limits{
-		Slots: e.Slots, KVTokens: e.KVTokens, AdapterSlots: e.AdapterSlots, WeightsMB: e.WeightsMB, Models: e.Models,
+		Slots: e.Slots, KVTokens: e.KVTokens, AdapterSlots: e.AdapterSlots, WeightsMB: e.WeightsMB, Models: e.Models, Cold: service.Cold,
 	}
 }
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -43,14 +43,14 @@
 		return
 	}
 	id, decision := e.RequestGrant(grants.Request{
-		EngineRequestID: req.RequestID, Key: catalog.AdapterKey{Model: req.Model, Adapter: req.Adapter},
+		EngineRequestID: req.RequestID, Incarnation: req.Incarnation, Key: catalog.AdapterKey{Model: req.Model, Adapter: req.Adapter},
 		PromptParts: req.Parts, PromptTokens: req.PromptTokens, MaxOutputTokens: req.OutputTokens, Priority: req.Priority,
 		Continuation:  req.Continuation,
 		MaxWait:       time.Duration(req.MaxWaitMS) * time.Millisecond,
 		LatencyTarget: time.Duration(req.LatencyTargetMS) * time.Millisecond,
 		GapTarget:     time.Duration(req.GapTargetMS) * time.Millisecond,
 		ColdLoadTime:  time.Duration(req.LoadMS) * time.Millisecond,
-	}, req.Version, catalog.EndpointID(req.EndpointID), req.Incarnation, req.RateLimit.Decode(time.Now()))
+	}, req.Version, catalog.EndpointID(req.EndpointID), req.RateLimit.Decode(time.Now()), time.Duration(req.ColdMS)*time.Millisecond)
 	defer e.Release(id)
 	var d grants.Decision
 	select {
@@ -65,7 +65,7 @@
 	if !writeLine(w, schedulerapi.GrantReply{
 		Granted: d.Granted, Refusal: d.Refusal, ExpectedWaitMS: d.ExpectedWait.Milliseconds(),
 		Version: d.Version, Cold: d.WaitedForLoad, WaitedMS: d.Waited.Milliseconds(),
-		Incarnation: incarnation,
+		Incarnation: incarnation, ColdMS: e.coldRemaining().Milliseconds(),
 	}) || !d.Granted {
 		return
 	}
--- a/internal/scheduler/server_test.go
+++ b/internal/scheduler/server_test.go
@@ -47,7 +47,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		e := NewEngine(nil, grants.DefaultConfig(), logrus.NewEntry(log), NewCounters(tally.NoopScope))
+		e := NewEngine(nil, grants.DefaultConfig(), "llm", logrus.NewEntry(log), NewCounters(tally.NoopScope))
 		began := time.Now()
 		var alive []time.Duration
 		w := newSnapshotRecorder(func(s grants.Snapshot) {
@@ -86,7 +86,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		e := NewEngine(nil, grants.DefaultConfig(), logrus.NewEntry(log), NewCounters(tally.NoopScope))
+		e := NewEngine(nil, grants.DefaultConfig(), "llm", logrus.NewEntry(log), NewCounters(tally.NoopScope))
 		lines := 0
 		w := newSnapshotRecorder(func(grants.Snapshot) { lines++ })
 		report := func(now time.Time) {
--- a/internal/schedulerapi/schedulerapi.go
+++ b/internal/schedulerapi/schedulerapi.go
@@ -44,6 +44,8 @@
 	// RateLimit is the rate limit in the engine's last response to the router; nil if the
 	// incarnation has not responded to it yet.
 	RateLimit *RateLimit `json:"rateLimit,omitempty"`
+	// ColdMS is how long the incarnation remains cold, as the router knows it; 0 if it is not cold.
+	ColdMS int64 `json:"coldMs,omitempty"`
 	// LoadMS is the estimated time to load an adapter from the weight store. It accounts for
 	// the loads that already run; 0 if unknown.
 	LoadMS int64 `json:"loadMs"`
@@ -90,6 +92,8 @@
 	WaitedMS       int64          `json:"waitedMs"`          // Time that the request waited at the scheduler.
 	// Incarnation is the engine's incarnation by its last report, whatever the router knows; 0 if unknown.
 	Incarnation int64 `json:"born,omitempty"`
+	// ColdMS is how long the engine remains cold; 0 if it is not cold.
+	ColdMS int64 `json:"coldMs,omitempty"`
 }
 
 // Bounds of the bodies of calls between processes, in bytes.
