Router, quota: pace requests to cold endpoints

Cause: routers sent to cold endpoints of plain services without a bound, and to cold engines without a grant while the scheduler was silent. Change: EndpointLimits.Take has the rate of a cold endpoint; the router that counts for all applies the lower one of it and of the named limit until the cold time that callers state has ended. An engine known to be cold gets nothing without a grant, and a grant whose reply was delayed by more than 250 ms, as to a suspended router, is not used while the engine is cold. Log line endpoint_cold, counter cold_refused.

--- a/internal/quota/endpoints.go
+++ b/internal/quota/endpoints.go
@@ -47,9 +47,17 @@
 	Role       string                  `json:"role"`
 	NamedForMS int64                   `json:"namedForMs"` // How long the caller has known a limit of the endpoint.
 	RateLimit  *schedulerapi.RateLimit `json:"rateLimit"`
+	ColdPerS   float64                 `json:"coldPerS,omitempty"` // Rate of a cold endpoint of the service; 0 if this one is not cold.
+	ColdMS     int64                   `json:"coldMs,omitempty"`   // How long the endpoint remains cold.
 }
 
-// EndpointLimits counts the requests to endpoints that name a rate limit, over all routers. One
+// ColdRate is the rate that a cold endpoint sustains, and for how long. The zero value is an endpoint that is not cold.
+type ColdRate struct {
+	PerSecond float64
+	Remaining time.Duration
+}
+
+// EndpointLimits counts the requests to endpoints that name a rate limit or are cold, over all routers. One
 // router, the owner, counts the requests to an endpoint; the others call it before each one. It
 // is safe for concurrent use.
 type EndpointLimits struct {
@@ -72,7 +80,22 @@
 
 type endpointLimiter struct {
 	*ratelimit.Limiter
-	usedAt time.Time
+	usedAt    time.Time
+	coldUntil time.Time // Zero if no router has said that the endpoint is cold.
+}
+
+// observeCold sets the rate of a cold endpoint while the endpoint is cold, as the routers know it, and withdraws it
+// afterwards.
+func (l *endpointLimiter) observeCold(req takeEndpointRequest, now time.Time) {
+	if until := now.Add(time.Duration(req.ColdMS) * time.Millisecond); req.ColdMS > 0 && until.After(l.coldUntil) {
+		l.coldUntil = until
+	}
+	switch {
+	case !l.coldUntil.After(now):
+		l.Observe(ratelimit.FromCold, ratelimit.Observation{At: now})
+	case req.ColdMS > 0:
+		l.Observe(ratelimit.FromCold, ratelimit.Observation{Limit: ratelimit.Limit{Named: true, PerSecond: req.ColdPerS}, At: now})
+	}
 }
 
 // NewEndpointLimits returns an EndpointLimits that counts no endpoint yet.
@@ -87,10 +110,10 @@
 func endpointKey(e *catalog.Endpoint) string { return fmt.Sprintf("%s@%d", e.ID, e.Incarnation) }
 
 // Take reports whether a request may be sent to an endpoint, given the last observation of its
-// rate limit. If the router that counts the endpoint does not respond, the request may not be
+// rate limit and its rate if it is cold; the lower one applies. If the router that counts the endpoint does not respond, the request may not be
 // sent: that router may have counted it or not.
-func (l *EndpointLimits) Take(ctx context.Context, e *catalog.Endpoint, o ratelimit.Observation) Decision {
-	if !o.Limit.Named {
+func (l *EndpointLimits) Take(ctx context.Context, e *catalog.Endpoint, o ratelimit.Observation, cold ColdRate) Decision {
+	if !o.Limit.Named && cold.Remaining <= 0 {
 		return Decision{Admitted: true}
 	}
 	key, now := endpointKey(e), time.Now()
@@ -98,9 +121,14 @@
 	if wait > 0 {
 		return Decision{RetryAfter: wait}
 	}
-	d := l.takeShared(ctx, takeEndpointRequest{
-		Key: key, NamedForMS: namedFor.Milliseconds(), RateLimit: schedulerapi.EncodeRateLimit(o, now),
-	}, now)
+	req := takeEndpointRequest{Key: key, NamedForMS: namedFor.Milliseconds(), RateLimit: schedulerapi.EncodeRateLimit(o, now)}
+	if cold.Remaining > 0 {
+		req.ColdPerS, req.ColdMS = cold.PerSecond, max(cold.Remaining.Milliseconds(), 1)
+	}
+	d := l.takeShared(ctx, req, now)
+	if !o.Limit.Named {
+		d.RetryAfter = min(d.RetryAfter, cold.Remaining)
+	}
 	if !d.Admitted {
 		l.mu.Lock()
 		l.refusedUntil[key] = now.Add(d.RetryAfter)
@@ -154,6 +182,7 @@
 	}
 	limiter.usedAt = now
 	limiter.Observe(ratelimit.FromResponse, req.RateLimit.Decode(now))
+	limiter.observeCold(req, now)
 	if limiter.Take(now) {
 		return takeReply{Taken: true}
 	}
@@ -169,6 +198,8 @@
 		return ratelimit.NewLimiter(isolatedEndpointShare/float64(l.peers.Count()), now)
 	case req.NamedForMS > freshLimit.Milliseconds():
 		return ratelimit.NewLimiter(1, now.Add(ownerHandover))
+	case req.ColdMS > 0:
+		return ratelimit.NewLimiter(1, l.peers.ownsFrom(req.Key, now))
 	default:
 		return ratelimit.NewLimiter(1, l.peers.knownFrom(now))
 	}
--- a/internal/quota/endpoints_test.go
+++ b/internal/quota/endpoints_test.go
@@ -43,7 +43,7 @@
 	began, admitted := time.Now(), 0
 	for range 100 {
 		for _, r := range all {
-			if r.limits.Take(context.Background(), testEndpoint, observe(perSecond)).Admitted {
+			if r.limits.Take(context.Background(), testEndpoint, observe(perSecond), ColdRate{}).Admitted {
 				admitted++
 			}
 		}
@@ -65,7 +65,7 @@
 		if name == owner {
 			continue
 		}
-		if d := r.limits.Take(context.Background(), testEndpoint, observe(perSecond)); d.Admitted {
+		if d := r.limits.Take(context.Background(), testEndpoint, observe(perSecond), ColdRate{}); d.Admitted {
 			t.Errorf("%s: Take() of silent owner %s = %+v, want it refused", name, owner, d)
 		}
 		if c := r.peers.endpointCounter(endpointKey(testEndpoint), time.Now()); c.role != roleStandby {
@@ -76,7 +76,7 @@
 	began, admitted := time.Now(), 0
 	for time.Since(began) < 500*time.Millisecond {
 		for name, r := range all {
-			if name != owner && r.limits.Take(context.Background(), testEndpoint, observe(perSecond)).Admitted {
+			if name != owner && r.limits.Take(context.Background(), testEndpoint, observe(perSecond), ColdRate{}).Admitted {
 				admitted++
 			}
 		}
@@ -95,7 +95,7 @@
 	all := newEndpointRouters(t, time.Minute, "r1", "r2")
 	for _, r := range all {
 		r.limits.SetNamed(testEndpoint, true, time.Now().Add(-time.Second))
-		if d := r.limits.Take(context.Background(), testEndpoint, observe(100)); d.Admitted || d.RetryAfter < ownerHandover/2 {
+		if d := r.limits.Take(context.Background(), testEndpoint, observe(100), ColdRate{}); d.Admitted || d.RetryAfter < ownerHandover/2 {
 			t.Errorf("Take() = %+v, want it refused for about %s", d, ownerHandover)
 		}
 	}
@@ -110,7 +110,7 @@
 		}
 	}
 	single := newEndpointRouters(t, 0, "r1")["r1"]
-	if d := single.limits.Take(context.Background(), testEndpoint, observe(1)); !d.Admitted {
+	if d := single.limits.Take(context.Background(), testEndpoint, observe(1), ColdRate{}); !d.Admitted {
 		t.Errorf("Take() of the only router = %+v, want it admitted", d)
 	}
 }
@@ -130,7 +130,7 @@
 	const perSecond = 60.0
 	began, admitted := time.Now(), 0
 	for time.Since(began) < 500*time.Millisecond {
-		if isolated.limits.Take(context.Background(), testEndpoint, observe(perSecond)).Admitted {
+		if isolated.limits.Take(context.Background(), testEndpoint, observe(perSecond), ColdRate{}).Admitted {
 			admitted++
 		}
 		time.Sleep(time.Millisecond)
@@ -140,3 +140,70 @@
 		t.Errorf("isolated router admitted %d requests, want 1 to %d", admitted, limit)
 	}
 }
+
+// coldRate is the rate of a cold endpoint, at which all routers together stay within one and a half times the rate and
+// 5 requests.
+var coldRate = ColdRate{PerSecond: 6.9, Remaining: 3 * time.Second}
+
+// takeFor takes from all routers for a time and returns the admitted requests.
+func takeFor(all map[string]*testRouter, d time.Duration, o ratelimit.Observation, cold ColdRate) (admitted int) {
+	for began := time.Now(); time.Since(began) < d; time.Sleep(2 * time.Millisecond) {
+		for _, r := range all {
+			if r.limits.Take(context.Background(), testEndpoint, o, cold).Admitted {
+				admitted++
+			}
+		}
+	}
+	return admitted
+}
+
+// The lower one of the rate of a cold endpoint and of the limit that it names applies, whichever router knows what,
+// and the former ends with the cold time.
+func TestRoutersShareRateOfColdEndpoint(t *testing.T) {
+	for name, tc := range map[string]struct {
+		o    ratelimit.Observation
+		most float64 // In 1 s.
+	}{
+		"no limit named":     {ratelimit.Observation{}, coldRate.PerSecond},
+		"lower limit named":  {observe(3), 3},
+		"higher limit named": {observe(100), coldRate.PerSecond},
+	} {
+		all := newEndpointRouters(t, time.Minute, "r1", "r2", "r3")
+		admitted := takeFor(all, time.Second, tc.o, coldRate)
+		if most := tc.most*(1+ratelimit.BurstPeriod.Seconds()) + 2; admitted < 2 || float64(admitted) > most {
+			t.Errorf("%s: %d requests admitted in 1 s, want 2 to %.1f", name, admitted, most)
+		}
+	}
+	all := newEndpointRouters(t, time.Minute, "r1", "r2")
+	takeFor(all, 50*time.Millisecond, observe(100), ColdRate{coldRate.PerSecond, 60 * time.Millisecond})
+	time.Sleep(300 * time.Millisecond) // Cold time, and refusals of it.
+	if admitted := takeFor(all, 300*time.Millisecond, observe(100), ColdRate{}); admitted < 15 {
+		t.Errorf("%d requests admitted in 300 ms after the cold time at a limit of 100/s, want more", admitted)
+	}
+}
+
+// A router that drains is still the owner for those that know it and calls the next one itself, which must not admit
+// the whole rate beside it. Nor must the next one after the former has gone, until all routers know that.
+func TestNewOwnerOfColdEndpointAdmitsNothingBesideFormerOne(t *testing.T) {
+	for name, change := range map[string]func(t *testing.T, all map[string]*testRouter, owner string){
+		"drains": func(_ *testing.T, all map[string]*testRouter, owner string) { all[owner].peers.Leave() },
+		"known to some": func(_ *testing.T, all map[string]*testRouter, owner string) {
+			for vm, r := range all {
+				if vm != owner {
+					r.peers.mu.Lock()
+					r.peers.byVM[owner].listed, r.peers.byVM[owner].respondedAt = false, time.Now().Add(-time.Minute)
+					r.peers.mu.Unlock()
+					r.peers.removeUnlisted(time.Now())
+					return
+				}
+			}
+		},
+	} {
+		all := newEndpointRouters(t, time.Minute, "r1", "r2", "r3")
+		change(t, all, ownerOf(all))
+		admitted := takeFor(all, time.Second, ratelimit.Observation{}, coldRate)
+		if most := coldRate.PerSecond*(1+ratelimit.BurstPeriod.Seconds()) + 2; admitted < 2 || float64(admitted) > most {
+			t.Errorf("%s: %d requests admitted in 1 s, want 2 to %.1f", name, admitted, most)
+		}
+	}
+}
--- a/internal/quota/peers.go
+++ b/internal/quota/peers.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -88,12 +89,15 @@
 	interruptedAt time.Time        // Last time at which this router was isolated or resumed from a suspension.
 	isolatedSince time.Time        // Zero while this router is not isolated.
 	lateAt        time.Time        // Last response that came after the timeout of its call.
+
+	departed map[string]time.Time // When routers were removed within ownerHandover.
 }
 
 // NewPeers returns an empty Peers for the router on the VM self.
 func NewPeers(self string, transport http.RoundTripper, log *logrus.Entry) *Peers {
 	return &Peers{
 		self: self, client: &http.Client{Transport: transport, Timeout: callTimeout + lateTimeout}, log: log, byVM: make(map[string]*peer),
+		departed: make(map[string]time.Time),
 	}
 }
 
@@ -108,6 +112,7 @@
 	if other == nil || other.Address != found.Address {
 		other = &peer{Peer: found, respondedAt: time.Now()}
 		p.byVM[found.VM] = other
+		delete(p.departed, found.VM)
 		p.log.WithFields(logrus.Fields{"event": "router", "peer": found.VM, "address": found.Address}).Info("router found")
 		if p.OnFound != nil {
 			go p.OnFound(found)
@@ -163,9 +168,11 @@
 func (p *Peers) removeUnlisted(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	maps.DeleteFunc(p.departed, func(_ string, at time.Time) bool { return now.Sub(at) >= ownerHandover })
 	for vm, other := range p.byVM {
 		if !other.listed && now.Sub(other.respondedAt) > unlistedPeerTTL {
 			delete(p.byVM, vm)
+			p.departed[vm] = now
 			p.log.WithFields(logrus.Fields{"event": "router_gone", "peer": vm}).
 				Info("router removed: not listed and not responding")
 		}
@@ -345,6 +352,29 @@
 	}
 }
 
+// ownsFrom returns the time from which no other router counts the requests to an endpoint as its owner: the others
+// know this router, and no router that precedes it in the ranking has been there for ownerHandover. Until then some
+// routers may still call that one.
+func (p *Peers) ownsFrom(key string, now time.Time) time.Time {
+	from := p.knownFrom(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hash := rendezvous.Hash(key)
+	own := rendezvous.Score(hash, rendezvous.Hash(p.self))
+	await := func(vm string, at time.Time) {
+		if until := at.Add(ownerHandover); rendezvous.Score(hash, rendezvous.Hash(vm)) > own && until.After(from) {
+			from = until
+		}
+	}
+	for vm := range p.byVM {
+		await(vm, now)
+	}
+	for vm, at := range p.departed {
+		await(vm, at)
+	}
+	return from
+}
+
 // mostDoNotReach asks all routers but one whether they reach that one, and reports whether most
 // of those, this router included, do not.
 func (p *Peers) mostDoNotReach(ctx context.Context, vm string) bool {
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -18,6 +18,7 @@
 	grantWait         tally.Histogram
 	connections       tally.Counter
 	rateLimited       tally.Counter // Plain endpoints left out for a request because of their rate limits.
+	coldRefused       tally.Counter // Endpoints left out for a request because they are cold.
 	endpointsDraining tally.Counter // Endpoints that said in a response that they drain.
 	endpointPushbacks tally.Counter // Refusals with a Retry-After of endpoints that were in use.
 	partsRefused      tally.Counter // Requests refused because of a prompt part on which engines crash.
@@ -39,6 +40,7 @@
 		grantWait:         scope.Histogram("turn_wait_seconds", latencyBuckets),
 		connections:       scope.Counter("endpoint_connections_total"),
 		rateLimited:       scope.Counter("endpoint_rate_limited_total"),
+		coldRefused:       scope.Counter("cold_refused"),
 		endpointsDraining: scope.Counter("endpoints_draining_total"),
 		endpointPushbacks: scope.Counter("endpoint_pushbacks_total"),
 		partsRefused:      scope.Counter("prompt_parts_refused_total"),
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -1,12 +1,16 @@
 package router
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/availability"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/coldstart"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/routing"
 )
@@ -18,6 +22,41 @@
 	availability map[catalog.EndpointID]*availability.State // Of endpoints that said something about it.
 }
 
+// coldOf returns until when an endpoint is cold, as this router knows it.
+func coldOf(v *catalog.View, ep *catalog.Endpoint) coldstart.Cold {
+	if v.Config == nil || v.Config.Services[ep.Service] == nil {
+		return coldstart.Cold{}
+	}
+	return coldstart.OfEndpoint(v.Config.Services[ep.Service].Cold, ep.ColdUntil, time.Time{})
+}
+
+// coldLog logs when endpoints become cold. It is not safe for concurrent use.
+type coldLog struct {
+	log   *logrus.Entry
+	until map[catalog.EndpointID]time.Time // Of cold endpoints.
+}
+
+// observe logs the endpoints that are cold in a view and were not before.
+func (l *coldLog) observe(v *catalog.View, now time.Time) {
+	maps.DeleteFunc(l.until, func(_ catalog.EndpointID, until time.Time) bool { return !until.After(now) })
+	for _, list := range v.Endpoints {
+		for _, ep := range list {
+			cold := coldOf(v, ep)
+			remaining := cold.Remaining(now)
+			if remaining == 0 {
+				continue
+			}
+			if _, known := l.until[ep.ID]; !known {
+				l.log.WithFields(logrus.Fields{
+					"event": "endpoint_cold", "endpoint": ep.ID, "service": ep.Service, "born": ep.Incarnation,
+					"ms": remaining.Milliseconds(), "source": cold.Source,
+				}).Info("endpoint is cold")
+			}
+			l.until[ep.ID] = cold.Until
+		}
+	}
+}
+
 // availabilityRetention is how long the availability of an endpoint is kept after its last signal.
 // It exceeds the time for which endpoints serve on after they started to drain.
 const availabilityRetention = 10 * time.Minute
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/rendezvous"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/routing"
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
@@ -28,6 +29,9 @@
 	// same rate as this one. With a higher bound, one load of this router would be counted for
 	// too many others.
 	maxLoadingRouters = 4
+	// maxColdGrantDelay is the largest delay of the reply with which the scheduler of a cold engine grants a request. A
+	// router that was suspended would otherwise use all grants of that time at once.
+	maxColdGrantDelay = 250 * time.Millisecond
 	// minBusyRetryAfter is the shortest Retry-After for callers that are refused because all
 	// engines are busy. Load peaks last for seconds and these requests are late in any case.
 	minBusyRetryAfter = 2 * time.Second
@@ -95,7 +99,7 @@
 // requestGrant requests a grant from one engine's scheduler. If it is not granted,
 // requestGrant returns the expected wait. If the scheduler's last snapshot is stale and lists
 // the adapter as loaded, the request is sent without a grant, unless the engine names a rate
-// limit, which the scheduler counts.
+// limit or is cold: the scheduler counts those requests.
 func (r *Router) requestGrant(q *request, endpoint *catalog.Endpoint, choice routing.Choice) (*placement, time.Duration) {
 	conn := r.schedulerConns.conn(endpoint.Address)
 	if conn == nil {
@@ -103,7 +107,13 @@
 	}
 	now := time.Now()
 	rateLimit := r.endpointTracker.rateLimit(endpoint)
+	cold := coldOf(r.state.View(), endpoint).Remaining(now)
 	if !conn.state(now).fresh {
+		if cold > 0 {
+			r.counters.coldRefused.Inc(1)
+			q.addStep(endpoint.ID, string(grants.RefusalCold))
+			return nil, minRetryAfter
+		}
 		if choice.Resident && !rateLimit.Limit.Named && !q.binding.Bound { // Only a grant names the incarnation.
 			// The engine refuses the request if the adapter is no longer loaded, or in another version.
 			return &placement{endpoint: endpoint, announced: r.state.View().Versions[q.call.Adapter]}, 0
@@ -121,9 +131,10 @@
 		Continuation: q.binding.Bound,
 		MaxWaitMS:    maxWait.Milliseconds(), LatencyTargetMS: max(q.latencyTarget()-now.Sub(q.arrived), 0).Milliseconds(),
 		GapTargetMS: q.route.GapTarget.Milliseconds(), LoadMS: choice.ColdLoadTime.Milliseconds(),
-		RateLimit: schedulerapi.EncodeRateLimit(rateLimit, now),
+		RateLimit: schedulerapi.EncodeRateLimit(rateLimit, now), ColdMS: cold.Milliseconds(),
 	})
-	q.trace.grantWait += time.Since(began)
+	took := time.Since(began)
+	q.trace.grantWait += took
 	if err != nil {
 		q.addStep(endpoint.ID, "scheduler_silent")
 		return nil, minRetryAfter
@@ -132,6 +143,11 @@
 		q.addStep(endpoint.ID, string(reply.Refusal))
 		return nil, time.Duration(reply.ExpectedWaitMS) * time.Millisecond
 	}
+	if late := took - time.Duration(reply.WaitedMS)*time.Millisecond; reply.ColdMS > 0 && late > maxColdGrantDelay {
+		g.release()
+		q.addStep(endpoint.ID, "grant_late")
+		return nil, minRetryAfter
+	}
 	current := r.state.View().FindEndpoint(endpoint.Service, endpoint.ID)
 	if current == nil || !r.endpointTracker.usable(current, time.Now()) {
 		g.release() // The engine started to drain or refused another request while this one waited.
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -4,12 +4,17 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/routing"
+	"github.com/hyssoptiller/hyssoptiller/internal/quota"
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
 )
 
-// stepRateLimited is the step of an endpoint whose rate limit does not permit the request.
-const stepRateLimited = "endpoint_rate_limit"
+// Steps of an endpoint that its rate limit, or its rate while it is cold, leaves out for the request.
+const (
+	stepRateLimited = "endpoint_rate_limit"
+	stepCold        = "endpoint_cold"
+)
 
 // silenceShare is the part of the remaining time that an endpoint of a plain service may stay
 // silent before an idempotent request is sent to another one.
@@ -32,7 +37,7 @@
 	}
 }
 
-// selectPlain selects the best endpoint that was not tried and whose rate limit permits the
+// selectPlain selects the best endpoint that was not tried and whose rate limit, and rate while it is cold, permit the
 // request. If there is none, it returns the shortest wait until a limit or a Retry-After permits
 // one, or 0 if no endpoint has either.
 func (r *Router) selectPlain(q *request) (*placement, time.Duration) {
@@ -45,17 +50,32 @@
 		if endpoint == nil {
 			continue
 		}
-		d := r.endpointLimits.Take(q.ctx, endpoint, r.endpointTracker.rateLimit(endpoint))
+		cold := coldRate(v, endpoint, now)
+		d := r.endpointLimits.Take(q.ctx, endpoint, r.endpointTracker.rateLimit(endpoint), cold)
 		if d.Admitted {
 			return &placement{endpoint: endpoint, software: endpoint.SoftwareVersion}, 0
 		}
-		r.counters.rateLimited.Inc(1)
-		q.addStep(id, stepRateLimited)
+		if cold.Remaining > 0 {
+			r.counters.coldRefused.Inc(1)
+			q.addStep(id, stepCold)
+		} else {
+			r.counters.rateLimited.Inc(1)
+			q.addStep(id, stepRateLimited)
+		}
 		minWait = shorterWait(minWait, d.RetryAfter)
 	}
 	return nil, minWait
 }
 
+// coldRate returns the rate of an endpoint that is cold.
+func coldRate(v *catalog.View, ep *catalog.Endpoint, now time.Time) quota.ColdRate {
+	remaining := coldOf(v, ep).Remaining(now)
+	if remaining == 0 {
+		return quota.ColdRate{}
+	}
+	return quota.ColdRate{PerSecond: v.Config.Services[ep.Service].Cold.PerSecond, Remaining: remaining}
+}
+
 // plainSilenceLimit returns how long an endpoint may stay silent before another one is tried.
 // It returns 0 (no limit) if the request must not run again.
 func (q *request) plainSilenceLimit() time.Duration {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -249,6 +249,7 @@
 	defer sweep.Stop()
 	late := time.NewTicker(lateCheckInterval)
 	defer late.Stop()
+	cold := coldLog{r.log, make(map[catalog.EndpointID]time.Time)}
 	for {
 		select {
 		case <-ctx.Done():
@@ -257,6 +258,7 @@
 			v := r.state.View()
 			r.schedulerConns.sync(ctx, v)
 			r.endpointTracker.sync(v, time.Now())
+			cold.observe(v, time.Now())
 		case now := <-late.C:
 			r.schedulerConns.checkLate(now)
 		case now := <-sweep.C:
