--- a/internal/quota/endpoints_test.go
+++ b/internal/quota/endpoints_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
+	"github.com/hyssoptiller/hyssoptiller/internal/schedulerapi"
 )
 
 var testEndpoint = &catalog.Endpoint{ID: "e", Service: "s", Incarnation: 5}
@@ -207,3 +212,48 @@
 		}
 	}
 }
+
+// Over every second, the owner must admit no more to a cold endpoint than the bound of the design page, however many
+// routers ask, whether they know that it is cold or only know a limit, and though it was suspended meanwhile.
+func TestOwnerPacesColdEndpoint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		l := NewEndpointLimits(NewPeers("r1", nil, logrus.NewEntry(log)), logrus.NewEntry(log))
+		perSecond := rapid.Float64Range(0.5, 20).Draw(t, "per second")
+		now := time.Now()
+		var admitted []time.Time
+		coldUntil := now
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 20).Draw(t, "suspended") == 0 {
+				now = now.Add(3 * time.Second)
+			}
+			if !coldUntil.After(now) && rapid.IntRange(0, 3).Draw(t, "becomes cold") == 0 {
+				coldUntil, admitted = now.Add(3*time.Second), nil
+				l.takeLocal(takeEndpointRequest{Key: "e", Role: roleOwner, ColdPerS: perSecond, ColdMS: 3000}, now)
+			}
+			for range 30 {
+				req := takeEndpointRequest{Key: "e", Role: roleOwner}
+				if rapid.Bool().Draw(t, "names a limit") {
+					req.RateLimit = &schedulerapi.RateLimit{Named: true, PerSecond: 1000}
+				}
+				if cold := coldUntil.Sub(now); cold > 0 && rapid.Bool().Draw(t, "knows") {
+					req.ColdPerS, req.ColdMS = perSecond, cold.Milliseconds()
+				}
+				if l.takeLocal(req, now).Taken && coldUntil.After(now) {
+					admitted = append(admitted, now)
+				}
+			}
+			n := 0
+			for _, at := range admitted {
+				if now.Sub(at) < time.Second {
+					n++
+				}
+			}
+			if most := 1.5*perSecond + 5; float64(n) > most {
+				t.Fatalf("%d requests admitted in 1 s, want at most %.1f", n, most)
+			}
+		}
+	})
+}
