--- a/internal/policy/grants/doc.go
+++ b/internal/policy/grants/doc.go
@@ -11,6 +11,7 @@
 //   - Resident, loading and ordered adapters never exceed the engine's adapter
 //     slots.
 //   - An adapter with an active grant is not unloaded.
+//   - Grants to a cold engine stay within the rate that it sustains.
 //   - A grant requires a resident adapter of the announced version. The former
 //     version is granted for a bounded time after the announcement.
 //
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -6,7 +6,7 @@
 // A router that reaches less than half of the other routers admits only a small part of each
 // rate by itself, because the others do not count the requests that it admits.
 //
-// The requests to an endpoint of a plain service that names a rate limit are counted in the same
+// The requests to an endpoint of a plain service that names a rate limit or is cold are counted in the same
 // way, by one owner for each endpoint. If the owner does not respond, a standby admits a part of
 // the limit.
 package quota
