--- a/internal/quota/endpoints.go
+++ b/internal/quota/endpoints.go
@@ -110,8 +110,8 @@
 func endpointKey(e *catalog.Endpoint) string { return fmt.Sprintf("%s@%d", e.ID, e.Incarnation) }
 
 // Take reports whether a request may be sent to an endpoint, given the last observation of its
-// rate limit and its rate if it is cold; the lower one applies. If the router that counts the endpoint does not respond, the request may not be
-// sent: that router may have counted it or not.
+// rate limit and its rate if it is cold; the lower one applies. If the router that counts the
+// endpoint does not respond, the request may not be sent: that router may have counted it or not.
 func (l *EndpointLimits) Take(ctx context.Context, e *catalog.Endpoint, o ratelimit.Observation, cold ColdRate) Decision {
 	if !o.Limit.Named && cold.Remaining <= 0 {
 		return Decision{Admitted: true}
