--- a/internal/router/domains.go
+++ b/internal/router/domains.go
@@ -71,7 +71,9 @@
 			names = append(names, ep.FailureDomain)
 		}
 	}
-	uses := r.domains.config.Uses(v.Evacuations, names, rendezvous.Hash(q.call.RequestID), now)
+	config := r.domains.config
+	config.Return = max(config.Return, q.service.Cold.Period)
+	uses := config.Uses(v.Evacuations, names, rendezvous.Hash(q.call.RequestID), now)
 	var free, last []*catalog.Endpoint
 	for _, ep := range list {
 		switch uses[ep.FailureDomain] {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -92,7 +92,7 @@
 	r.relays = relay.NewRelays(s.VM, s.FailureDomain, r.newTransport("relays", 0), metrics.Scope.SubScope("changes"), log)
 	r.changes = relay.NewServer(map[string]*catalog.ChangeLog{
 		relay.TopicOperator: catalog.NewChangeLog(nil),
-		relay.TopicRegistry: catalog.NewChangeLog(platform.IsHeartbeat),
+		relay.TopicRegistry: catalog.NewChangeLog(platform.IsHeartbeat(time.Now)),
 		relay.TopicRouters:  catalog.NewChangeLog(nil),
 	})
 	r.peers = quota.NewPeers(s.VM, r.newTransport("routers", quota.ResponseDelay), log)
@@ -251,6 +251,7 @@
 	defer sweep.Stop()
 	late := time.NewTicker(lateCheckInterval)
 	defer late.Stop()
+	cold := coldLog{r.log, make(map[catalog.EndpointID]time.Time)}
 	for {
 		select {
 		case <-ctx.Done():
@@ -259,6 +260,7 @@
 			v := r.state.View()
 			r.schedulerConns.sync(ctx, v)
 			r.endpointTracker.sync(v, time.Now())
+			cold.observe(v, time.Now())
 		case now := <-late.C:
 			r.schedulerConns.checkLate(now)
 			r.logPhases(r.state.View(), now)
