grants: large prefills are spaced where the gaps of streams come close to their target

Change: once a gap exceeds 0.85 of its target, the next large prompt of the engine waits until the last one has been prefilled, as its scheduler sees it in the reports, so that a few tokens are produced in between; small prompts do not wait.

--- a/internal/policy/grants/late_events.go
+++ b/internal/policy/grants/late_events.go
@@ -19,12 +19,48 @@
 	lateEventHalfLife   = 3 * time.Second
 )
 
+const (
+	// gapShareHalfLife is the time in which a long gap loses half of its weight.
+	gapShareHalfLife = 3 * time.Second
+	// spacingStartShare and spacingStopShare are the gaps, as a share of the gap target, from which large prefills
+	// are spaced and below which they are not any more. Spacing shortens the gaps by about a quarter, so that one threshold
+	// would turn it on and off.
+	spacingStartShare = 0.85
+	spacingStopShare  = 0.5
+)
+
+// gapPressure tracks how close the gaps between the events of an engine's streams come to their targets. An
+// engine that prefills one large prompt after the other produces an event only every few hundred milliseconds.
+type gapPressure struct {
+	share   float64 // Longest recent gap as a share of the gap target; decays with gapShareHalfLife.
+	at      time.Time
+	spacing bool
+}
+
+// observe records a gap of a stream with a gap target.
+func (g *gapPressure) observe(gap, target time.Duration, now time.Time) {
+	g.share, g.at = max(g.current(now), float64(gap)/float64(target)), now
+	g.spacing = g.spacing || g.share > spacingStartShare
+}
+
+// current returns the decayed share.
+func (g *gapPressure) current(now time.Time) float64 {
+	return g.share * math.Exp2(-float64(max(now.Sub(g.at), 0))/float64(gapShareHalfLife))
+}
+
+// spaced reports whether large prefills are to be spaced.
+func (g *gapPressure) spaced(now time.Time) bool {
+	g.spacing = g.spacing && g.current(now) > spacingStopShare
+	return g.spacing
+}
+
 // lateEvents tracks the fraction of an engine's events that exceed the gap
 // target of their streams. All streams of an engine share its steps, so the
 // events of one stream are representative of the others.
 type lateEvents struct {
 	rate       float64 // Moving average of the fraction of late events, 0 to 1.
 	measuredAt time.Time
+	pressure   gapPressure
 }
 
 // streamProgress is the last reported event count of a stream.
@@ -45,6 +81,7 @@
 	if before == 0 || gapTarget <= 0 {
 		return // The latency target covers the time until the first event.
 	}
+	l.pressure.observe(gap, gapTarget, now)
 	late := 0.0
 	if gap > gapTarget {
 		late = 1
--- a/internal/policy/grants/machine.go
+++ b/internal/policy/grants/machine.go
@@ -431,13 +431,23 @@
 	if len(m.grants) == 0 {
 		return true
 	}
-	if millis.Duration(q.prefillMS) > m.config.ShortPrefill && millis.Duration(m.prefills.backlogMS()) > m.config.MaxPrefillBacklog {
+	if millis.Duration(q.prefillMS) > m.config.ShortPrefill && m.prefillsHold(now) {
 		return false
 	}
 	maxTokens := int(maxGrantedKVShare * float64(m.limits.KVTokens))
 	return len(m.grants) < m.limits.Slots && m.grantedTokens+r.PromptTokens+r.MaxOutputTokens <= maxTokens
 }
 
+// prefillsHold reports whether a large prefill waits for those that are pending. Where the gaps of running streams come
+// close to their targets, it waits until the last large one has ended, so that the engine produces a few tokens for the
+// streams in between.
+func (m *Machine) prefillsHold(now time.Time) bool {
+	if m.lateEvents.pressure.spaced(now) {
+		return m.prefills.hasLarge(millis.FromDuration(m.config.ShortPrefill))
+	}
+	return millis.Duration(m.prefills.backlogMS()) > m.config.MaxPrefillBacklog
+}
+
 // usable reports whether requests for an adapter may be granted now.
 func (m *Machine) usable(key catalog.AdapterKey, now time.Time) bool {
 	if !slices.Contains(m.models, key.Model) {
--- a/internal/policy/grants/prefill.go
+++ b/internal/policy/grants/prefill.go
@@ -100,6 +100,11 @@
 	b.slowdown = initialSlowdown
 }
 
+// hasLarge reports whether a prefill of more than ms milliseconds at normal speed is pending.
+func (b *prefillBacklog) hasLarge(ms float64) bool {
+	return slices.ContainsFunc(b.pending, func(p *pendingPrefill) bool { return p.fullMS > ms })
+}
+
 // backlogMS returns the time that the engine needs for all pending prefills.
 func (b *prefillBacklog) backlogMS() float64 {
 	sum := 0.0
--- /dev/null
+++ b/internal/policy/grants/room_test.go
@@ -0,0 +1,67 @@
+package grants
+
+import (
+	"testing"
+	"time"
+)
+
+// reportWith returns a report of resident adapters and of the events of streams.
+func reportWith(adapters int, events map[string]int) Report {
+	r := emptyReport()
+	for n := range adapters {
+		r.Resident = append(r.Resident, Build{Key: adapterKey(n), Version: 1})
+	}
+	for id, n := range events {
+		r.Runs = append(r.Runs, Run{RequestID: id, Events: n})
+	}
+	return r
+}
+
+// Guards against streams whose events come late because the engine prefills one large prompt after the other: where gaps come
+// close to their target, the next large prompt waits until the last one has been prefilled, while small ones do not.
+func TestLargePrefillsAreSpacedWhereGapsComeCloseToTheirTarget(t *testing.T) {
+	for name, tc := range map[string]struct {
+		gapMS   int
+		granted bool // The second large prompt, 60 ms before the end of the first one.
+	}{
+		"short gaps": {100, true},
+		"long gaps":  {450, false},
+	} {
+		m := newTestMachine(4)
+		m.ApplyReport(reportWith(2, nil), at(1))
+		m.RequestGrant(Request{ID: 1, EngineRequestID: "s", Key: adapterKey(0), PromptTokens: 100, GapTarget: 500 * time.Millisecond}, at(2))
+		now := 100
+		for n := 1; n <= 3; n++ {
+			m.ApplyReport(reportWith(2, map[string]int{"s": n}), at(now))
+			now += tc.gapMS
+		}
+		large := Request{ID: 2, EngineRequestID: "d1", Key: adapterKey(1), PromptTokens: 6400, MaxWait: time.Second}
+		m.RequestGrant(large, at(now)) // 200 ms at normal speed, 280 ms with the initial slowdown.
+		if d := decisions(m); len(d) < 1 {
+			t.Fatalf("%s: the first large prompt is not granted", name)
+		}
+		large.ID, large.EngineRequestID = 3, "d2"
+		m.RequestGrant(large, at(now+220))
+		if got := granted(decisions(m)); got != tc.granted {
+			t.Errorf("%s: second large prompt granted = %v, want %v", name, got, tc.granted)
+		}
+		m.RequestGrant(Request{ID: 4, EngineRequestID: "c", Key: adapterKey(0), PromptTokens: 500, MaxWait: time.Second}, at(now+221))
+		if !granted(decisions(m)) {
+			t.Errorf("%s: the small prompt waits for the large one", name)
+		}
+		m.ApplyReport(reportWith(2, map[string]int{"d1": 1}), at(now+300))
+		if got := granted(decisions(m)); got == tc.granted {
+			t.Errorf("%s: second large prompt granted after the first event of the first = %v, want %v", name, got, !tc.granted)
+		}
+	}
+}
+
+// granted reports whether one of the decisions is a grant.
+func granted(all map[RequestID]Decision) bool {
+	for _, d := range all {
+		if d.Granted {
+			return true
+		}
+	}
+	return false
+}
