grants, routing: adapter slots and loads are left to more urgent requests while they are short

Cause: on deployment A adapter slots and loads bind, and the most urgent class was served no better than the others.

--- a/internal/policy/grants/delta.go
+++ b/internal/policy/grants/delta.go
@@ -25,6 +25,8 @@
 	SetAdapters       []AdapterState      `json:"set,omitempty"`    // New or changed adapters.
 	RemovedAdapters   []AdapterState      `json:"remove,omitempty"` // Adapters that the engine no longer holds.
 	IdleAdapterSlots  *int                `json:"idle,omitempty"`
+	ReservedSlots     *int                `json:"reserved,omitempty"`
+	ReservedFor       *int                `json:"reservedFor,omitempty"`
 	LoadingAdapters   *int                `json:"coming,omitempty"`
 	PrefillWaitMS     *[NumPriorities]int `json:"waitMs,omitempty"`
 	RateWaitMS        *int                `json:"rateMs,omitempty"`
@@ -52,8 +54,9 @@
 		Alive: changed(former.Alive, s.Alive), Draining: changed(former.Draining, s.Draining),
 		Incarnation:      changed(former.Incarnation, s.Incarnation),
 		IdleAdapterSlots: changed(former.IdleAdapterSlots, s.IdleAdapterSlots),
-		LoadingAdapters:  changed(former.LoadingAdapters, s.LoadingAdapters),
-		PrefillWaitMS:    changed(former.PrefillWaitMS, s.PrefillWaitMS), RateWaitMS: changed(former.RateWaitMS, s.RateWaitMS),
+		ReservedSlots:    changed(former.ReservedSlots, s.ReservedSlots), ReservedFor: changed(former.ReservedFor, s.ReservedFor),
+		LoadingAdapters: changed(former.LoadingAdapters, s.LoadingAdapters),
+		PrefillWaitMS:   changed(former.PrefillWaitMS, s.PrefillWaitMS), RateWaitMS: changed(former.RateWaitMS, s.RateWaitMS),
 		Slowdown: changed(former.Slowdown, s.Slowdown), LateEventRate: changed(former.LateEventRate, s.LateEventRate),
 		AdapterSlotWaitMS: changed(former.AdapterSlotWaitMS, s.AdapterSlotWaitMS),
 	}
@@ -82,6 +85,8 @@
 	apply(&s.Incarnation, d.Incarnation)
 	apply(&s.Models, d.Models)
 	apply(&s.IdleAdapterSlots, d.IdleAdapterSlots)
+	apply(&s.ReservedSlots, d.ReservedSlots)
+	apply(&s.ReservedFor, d.ReservedFor)
 	apply(&s.LoadingAdapters, d.LoadingAdapters)
 	apply(&s.PrefillWaitMS, d.PrefillWaitMS)
 	apply(&s.RateWaitMS, d.RateWaitMS)
@@ -126,7 +131,7 @@
 		}
 	}
 	return d.Alive != nil || d.Draining != nil || d.Incarnation != nil || d.Models != nil || len(d.RemovedAdapters) > 0 ||
-		d.IdleAdapterSlots != nil || d.LoadingAdapters != nil || d.Slowdown != nil || d.LateEventRate != nil
+		d.IdleAdapterSlots != nil || d.ReservedSlots != nil || d.LoadingAdapters != nil || d.Slowdown != nil || d.LateEventRate != nil
 }
 
 // findAdapterState returns the index of an adapter in a list, or -1.
--- a/internal/policy/grants/machine.go
+++ b/internal/policy/grants/machine.go
@@ -72,6 +72,7 @@
 	prefills         prefillBacklog
 	lateEvents       lateEvents
 	demands          demands
+	slotReserve      slotReserve
 	rate             ratelimit.Limiter // Counts the grants of this incarnation.
 
 	meanRunTime time.Duration // Moving average.
@@ -122,6 +123,9 @@
 func (m *Machine) RequestGrant(r Request, now time.Time) {
 	r.Priority = min(max(r.Priority, 0), NumPriorities-1)
 	m.demands.record(r.Key, now)
+	if r.Key.Adapter != "" && m.adapters[r.Key] == nil {
+		m.slotReserve.record(r.Priority, now)
+	}
 	prefillMS := float64(m.prompts.uncachedTokens(r.Key, r.PromptParts, r.PromptTokens)) / m.config.PrefillTokensPerMS
 	expected, refusal := m.estimateWait(r, prefillMS, now)
 	if refusal != RefusalNone {
@@ -495,7 +499,7 @@
 		return m.meanRunTime, RefusalVersionReplaced
 	}
 	if !m.usable(r.Key, now) {
-		wait = max(wait, m.expectedLoadTime(r)+m.adapterSlotWait(r.Key)+max(m.pausedUntil.Sub(now), 0))
+		wait = max(wait, m.expectedLoadTime(r)+m.adapterSlotWait(r.Key, m.reservedSlotsFor(r.Priority, now))+max(m.pausedUntil.Sub(now), 0))
 	}
 	rateWait := m.rate.Wait(len(m.queue), now)
 	switch accepted := m.acceptedWait(r, prefillMS); {
@@ -537,15 +541,15 @@
 	return m.config.WarmLoadTime
 }
 
-// adapterSlotWait returns the expected wait for an adapter slot. It is zero if
+// adapterSlotWait returns the expected wait for an adapter slot of a request that leaves reserved ones idle. It is zero if
 // enough slots are idle, and otherwise the time in which finishing runs free the
 // missing ones.
-func (m *Machine) adapterSlotWait(key catalog.AdapterKey) time.Duration {
+func (m *Machine) adapterSlotWait(key catalog.AdapterKey, reserved int) time.Duration {
 	if key.Adapter == "" || m.adapters[key] != nil {
 		return 0
 	}
 	awaited := m.awaitedAdapters()
-	idle := m.idleAdapterSlots()
+	idle := m.idleAdapterSlots() - reserved
 	if awaited < idle {
 		return 0
 	}
@@ -593,9 +597,12 @@
 		IdleAdapterSlots: max(0, m.idleAdapterSlots()-m.awaitedAdapters()),
 		Slowdown:         m.prefills.slowdown, LateEventRate: m.lateEvents.currentRate(now),
 		// The key matches no adapter, so the wait is that of an adapter without a slot.
-		AdapterSlotWaitMS: millis.FromDuration(m.adapterSlotWait(catalog.AdapterKey{Adapter: "\x00"})),
+		AdapterSlotWaitMS: millis.FromDuration(m.adapterSlotWait(catalog.AdapterKey{Adapter: "\x00"}, 0)),
 		LoadingAdapters:   m.loadingAdapters(),
 	}
+	if urgent := m.slotReserve.mostUrgent(now); urgent < NumPriorities-1 {
+		s.ReservedFor, s.ReservedSlots = urgent, m.reservedSlotsFor(urgent+1, now)
+	}
 	rateWait := m.rate.Wait(len(m.queue), now)
 	s.RateWaitMS = int(rateWait.Milliseconds())
 	for priority := range s.PrefillWaitMS {
--- a/internal/policy/grants/orders.go
+++ b/internal/policy/grants/orders.go
@@ -158,6 +158,9 @@
 		if key.Adapter == "" || m.adapters[key] != nil || !slices.Contains(m.models, key.Model) {
 			continue
 		}
+		if m.idleAdapterSlots() <= m.reservedSlotsFor(q.request.Priority, now) {
+			continue // The request waits until more slots are idle or no more urgent ones come.
+		}
 		if m.adapterFits(now) {
 			return Order{Key: key, Version: m.announced[key]}, true
 		}
--- a/internal/policy/grants/room_test.go
+++ b/internal/policy/grants/room_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 )
 
 // reportWith returns a report of resident adapters and of the events of streams.
@@ -65,3 +67,46 @@
 	}
 	return false
 }
+
+// Guards against urgent requests that find all adapter slots of an engine in use by less urgent ones, whose runs last
+// for seconds.
+func TestLastAdapterSlotsAreKeptForUrgentRequests(t *testing.T) {
+	run := func(urgentComes bool) (m *Machine, loaded map[catalog.AdapterKey]bool) {
+		m = newTestMachine(4)
+		loaded = make(map[catalog.AdapterKey]bool)
+		r := emptyReport()
+		if urgentComes {
+			m.RequestGrant(Request{ID: 9, Key: adapterKey(9), Priority: 0, PromptTokens: 100, MaxWait: time.Second}, at(1))
+		}
+		for n := range 4 {
+			m.RequestGrant(Request{ID: RequestID(n + 10), Key: adapterKey(n), Priority: 2, PromptTokens: 100, MaxWait: time.Second}, at(2+n))
+		}
+		for ms := 10; ms < 200; ms += 10 {
+			o, ok := m.NextOrder(at(ms))
+			if !ok {
+				continue
+			}
+			loaded[o.Key] = true
+			r.Sequence++
+			m.CompleteOrder(OutcomeAccepted, at(ms))
+			r.Resident = append(r.Resident, Build{Key: o.Key, Version: 1})
+			m.ApplyReport(r, at(ms+5))
+		}
+		return m, loaded
+	}
+	if _, loaded := run(false); len(loaded) != 4 {
+		t.Errorf("without urgent requests %d adapters were loaded, want 4", len(loaded))
+	}
+	m, loaded := run(true)
+	if !loaded[adapterKey(9)] || len(loaded) != 3 {
+		t.Errorf("adapters loaded beside urgent requests: %v, want that of the urgent one and two others", loaded)
+	}
+	s := m.Snapshot(at(200))
+	if s.IdleSlotsFor(0) != 1 || s.IdleSlotsFor(2) != 0 {
+		t.Errorf("idle slots for urgent and other requests: %d and %d, want 1 and 0", s.IdleSlotsFor(0), s.IdleSlotsFor(2))
+	}
+	later := at(200).Add(slotReservePeriod)
+	if s := m.Snapshot(later); s.IdleSlotsFor(2) != s.IdleAdapterSlots {
+		t.Errorf("%d of %d slots are kept after the last urgent request", s.ReservedSlots, s.IdleAdapterSlots)
+	}
+}
--- a/internal/policy/grants/types.go
+++ b/internal/policy/grants/types.go
@@ -182,6 +182,8 @@
 	Models            []string           `json:"models"`
 	Adapters          []AdapterState     `json:"adapters"`
 	IdleAdapterSlots  int                `json:"idle"`     // Adapter slots that are empty or hold an idle adapter.
+	ReservedSlots     int                `json:"reserved"` // Of these, slots that are kept for requests of ReservedFor or a more urgent priority.
+	ReservedFor       int                `json:"reservedFor"`
 	LoadingAdapters   int                `json:"coming"`   // Adapters that are loading.
 	PrefillWaitMS     [NumPriorities]int `json:"waitMs"`   // Expected wait by priority, for a resident adapter; at least RateWaitMS.
 	RateWaitMS        int                `json:"rateMs"`   // Expected wait because of the engine's rate limit; 0 without one.
@@ -189,3 +191,11 @@
 	LateEventRate     float64            `json:"slow"`     // Recent fraction of events whose gap exceeded the gap target, 0 to 1.
 	AdapterSlotWaitMS float64            `json:"placeMs"`  // Expected wait for an adapter slot.
 }
+
+// IdleSlotsFor returns the adapter slots that are idle for requests of a priority.
+func (s Snapshot) IdleSlotsFor(priority int) int {
+	if priority <= s.ReservedFor {
+		return s.IdleAdapterSlots
+	}
+	return max(s.IdleAdapterSlots-s.ReservedSlots, 0)
+}
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -87,7 +87,7 @@
 func (r *Router) job(q *request, now time.Time) routing.Job {
 	return routing.Job{
 		Key: q.call.Adapter, FailureDomain: r.settings.FailureDomain, Seed: rendezvous.Hash(q.call.RequestID), Priority: q.priority(), PromptTokens: q.call.PromptTokens,
-		SharedTokens: q.sharedTokens(), MeanEvents: r.streamLengths.expected(q.route.Name),
+		UrgencyRank: r.urgency.rank(q.config, q.service.Name, q.priority()), SharedTokens: q.sharedTokens(), MeanEvents: r.streamLengths.expected(q.route.Name),
 		Routers: min(r.peers.Count(), maxLoadingRouters), MaxOnTimeWait: q.onTimeWait(now),
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,6 +67,7 @@
 	budgets         *retryBudgets
 	streamLengths   *streamLengths
 	stopper         *stopper
+	urgency         urgencyClasses
 	routing         routing.Config
 	counters        *Counters
 	metrics         *process.Metrics
