deploy: capacity is kept for urgent requests only where the platform's rules say that callers compete for it

Change: setting rules (HYSSOP_RULES, from the list of contracts); pressure switches the two on. Spacing of prefills stays: it takes effect only where gaps come close to their targets.

--- a/cmd/hyssop-router/main.go
+++ b/cmd/hyssop-router/main.go
@@ -40,6 +40,7 @@
 	process.AddFlag(app, "grace", "Maximum time from SIGTERM until the process ends.").Default("8s").DurationVar(&s.ShutdownGrace)
 	process.AddFlag(app, "drain-bound", "Maximum time for which a draining endpoint is still used.").Default("2s").DurationVar(&s.EndpointDrainBound)
 	process.AddFlag(app, "config-bound", "Maximum time until a change of the configuration is in force.").Default("2s").DurationVar(&s.ConfigBound)
+	process.AddFlag(app, "rules", "Rules of the platform that are in force, separated by commas. With pressure, adapter slots and loads are kept for more urgent requests while they are short.").StringVar(&s.Rules)
 	process.AddFlag(app, "retry-ratio", "Retries per request that all routers together may make.").Default("0.2").Float64Var(&s.RetryRatio)
 	process.AddFlag(app, "retry-burst", "Retries in addition to the ratio that all routers together may make in a window.").Default("40").Float64Var(&s.RetryBurst)
 }
--- a/internal/policy/grants/room_test.go
+++ b/internal/policy/grants/room_test.go
@@ -73,6 +73,7 @@
 func TestLastAdapterSlotsAreKeptForUrgentRequests(t *testing.T) {
 	run := func(urgentComes bool) (m *Machine, loaded map[catalog.AdapterKey]bool) {
 		m = newTestMachine(4)
+		m.config.KeepUrgentSlots = true
 		loaded = make(map[catalog.AdapterKey]bool)
 		r := emptyReport()
 		if urgentComes {
--- a/internal/policy/grants/slot_reserve.go
+++ b/internal/policy/grants/slot_reserve.go
@@ -32,7 +32,7 @@
 
 // reservedSlotsFor returns how many idle adapter slots a request of a priority must leave.
 func (m *Machine) reservedSlotsFor(priority int, now time.Time) int {
-	if priority <= m.slotReserve.mostUrgent(now) {
+	if !m.config.KeepUrgentSlots || priority <= m.slotReserve.mostUrgent(now) {
 		return 0
 	}
 	return m.limits.AdapterSlots / slotsPerReserved
--- a/internal/policy/grants/types.go
+++ b/internal/policy/grants/types.go
@@ -137,6 +137,7 @@
 	MinModelLoadInterval time.Duration // Minimum time between two model loads.
 	ReloadWindow         time.Duration // An adapter used within this time is reloaded after its former version is unloaded.
 	MaxRecentlyUnloaded  int           // Unloaded adapters that the engine's host keeps cached.
+	KeepUrgentSlots      bool          // A part of the adapter slots is kept for more urgent requests.
 }
 
 // DefaultConfig returns the configuration for the engines of the platform.
--- a/internal/policy/routing/engines.go
+++ b/internal/policy/routing/engines.go
@@ -53,9 +53,8 @@
 		MaxLoadFactorNew: 1.5,
 		// At this limit a load takes 1 s. The request that causes it misses its
 		// target, but the ones after it meet theirs.
-		MaxLoadFactorSpread: 4,
-		// The least urgent class may use 1.28 times the full speed, which keeps the weight store busy if it is alone.
-		LeastUrgentLoadShare: 0.85,
+		MaxLoadFactorSpread:  4,
+		LeastUrgentLoadShare: 1,
 		ColdCost:             400 * time.Millisecond, // Below the shortest latency target, 600 ms: a missed target is worse than a load.
 		WarmCost:             40 * time.Millisecond,
 		CrowdedCost:          900 * time.Millisecond, // Above the latency targets: an adapter spreads only if its queue misses them.
@@ -72,6 +71,10 @@
 	}
 }
 
+// ScarceLoadShare is LeastUrgentLoadShare where classes compete for loads. The least urgent one may use 1.28 times the full
+// speed, which keeps the weight store busy if it is alone.
+const ScarceLoadShare = 0.85
+
 // Engine is a candidate engine.
 type Engine struct {
 	ID               catalog.EndpointID
--- a/internal/policy/routing/routing_test.go
+++ b/internal/policy/routing/routing_test.go
@@ -286,6 +286,8 @@
 // Guards against loads for less urgent requests that delay those of more urgent ones while the weight store is at its
 // limit.
 func TestLessUrgentRequestsLeaveLoadsToUrgentOnes(t *testing.T) {
+	config := DefaultConfig()
+	config.LeastUrgentLoadShare = ScarceLoadShare
 	engines := fleet(18)
 	for i := range 10 { // The limit is 12 loads, and 10.2 for the least urgent.
 		engines[i].Snapshot.LoadingAdapters = 1
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -86,6 +86,9 @@
 		counters: NewCounters(metrics.Scope.SubScope("router")), state: catalog.NewState(),
 		store: platform.NewStoreClient(s.StoreAddress),
 	}
+	if platform.ParseRules(s.Rules).ScarceCapacity {
+		r.routing.LeastUrgentLoadShare = routing.ScarceLoadShare
+	}
 	r.pool.OnDial = func() { r.counters.connections.Inc(1) }
 	transport := r.newTransport("schedulers", grantResponseDelay)
 	r.schedulerConns = newSchedulerConns(s.SchedulerPort, transport, log)
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -23,6 +23,7 @@
 	EndpointDrainBound time.Duration // How long a draining endpoint may still be used.
 	ConfigBound        time.Duration // Time in which a change of the configuration must be in force.
 	RetryRatio         float64       // Retries per request that all routers together may make.
+	Rules              string        // Rules of the platform that are in force, separated by commas.
 	RetryBurst         float64       // Retries beyond the ratio that all routers together may make in any window.
 }
 
