--- a/internal/policy/grants/late_events.go
+++ b/internal/policy/grants/late_events.go
@@ -27,6 +27,8 @@
 	// would turn it on and off.
 	spacingStartShare = 0.85
 	spacingStopShare  = 0.5
+	// maxGapShare bounds the weight of one gap, which may be that of an engine that was paused.
+	maxGapShare = 1.0
 )
 
 // gapPressure tracks how close the gaps between the events of an engine's streams come to their targets. An
@@ -39,7 +41,8 @@
 
 // observe records a gap of a stream with a gap target.
 func (g *gapPressure) observe(gap, target time.Duration, now time.Time) {
-	g.share, g.at = max(g.current(now), float64(gap)/float64(target)), now
+	g.spacing = g.spaced(now)
+	g.share, g.at = max(g.current(now), min(float64(gap)/float64(target), maxGapShare)), now
 	g.spacing = g.spacing || g.share > spacingStartShare
 }
 
@@ -50,8 +53,7 @@
 
 // spaced reports whether large prefills are to be spaced.
 func (g *gapPressure) spaced(now time.Time) bool {
-	g.spacing = g.spacing && g.current(now) > spacingStopShare
-	return g.spacing
+	return g.spacing && g.current(now) > spacingStopShare
 }
 
 // lateEvents tracks the fraction of an engine's events that exceed the gap
@@ -70,8 +72,8 @@
 }
 
 // observe records the number of events that a report shows for a stream. A
-// gapTarget of 0 means that the stream has none.
-func (l *lateEvents) observe(s *streamProgress, events int, gapTarget time.Duration, now time.Time) {
+// gapTarget of 0 means that the stream has none. prefilling means that a large prompt was prefilled since the last report.
+func (l *lateEvents) observe(s *streamProgress, events int, gapTarget time.Duration, prefilling bool, now time.Time) {
 	if events <= s.events {
 		return
 	}
@@ -81,7 +83,9 @@
 	if before == 0 || gapTarget <= 0 {
 		return // The latency target covers the time until the first event.
 	}
-	l.pressure.observe(gap, gapTarget, now)
+	if prefilling { // Other gaps would not become shorter by spacing.
+		l.pressure.observe(gap, gapTarget, now)
+	}
 	late := 0.0
 	if gap > gapTarget {
 		late = 1
--- a/internal/policy/grants/room_test.go
+++ b/internal/policy/grants/room_test.go
@@ -14,6 +14,9 @@
 		r.Resident = append(r.Resident, Build{Key: adapterKey(n), Version: 1})
 	}
 	for id, n := range events {
+		if n <= 0 {
+			continue
+		}
 		r.Runs = append(r.Runs, Run{RequestID: id, Events: n})
 	}
 	return r
@@ -32,9 +35,10 @@
 		m := newTestMachine(4)
 		m.ApplyReport(reportWith(2, nil), at(1))
 		m.RequestGrant(Request{ID: 1, EngineRequestID: "s", Key: adapterKey(0), PromptTokens: 100, GapTarget: 500 * time.Millisecond}, at(2))
+		m.RequestGrant(Request{ID: 5, EngineRequestID: "d0", Key: adapterKey(1), PromptTokens: 6400, MaxWait: time.Second}, at(50))
 		now := 100
 		for n := 1; n <= 3; n++ {
-			m.ApplyReport(reportWith(2, map[string]int{"s": n}), at(now))
+			m.ApplyReport(reportWith(2, map[string]int{"s": n, "d0": n - 2}), at(now))
 			now += tc.gapMS
 		}
 		large := Request{ID: 2, EngineRequestID: "d1", Key: adapterKey(1), PromptTokens: 6400, MaxWait: time.Second}
@@ -47,7 +51,7 @@
 		if got := granted(decisions(m)); got != tc.granted {
 			t.Errorf("%s: second large prompt granted = %v, want %v", name, got, tc.granted)
 		}
-		m.RequestGrant(Request{ID: 4, EngineRequestID: "c", Key: adapterKey(0), PromptTokens: 500, MaxWait: time.Second}, at(now+221))
+		m.RequestGrant(Request{ID: 4, EngineRequestID: "c", Key: adapterKey(0), PromptTokens: 500, MaxWait: time.Second, LatencyTarget: time.Second}, at(now+221))
 		if !granted(decisions(m)) {
 			t.Errorf("%s: the small prompt waits for the large one", name)
 		}
@@ -58,6 +62,44 @@
 	}
 }
 
+// Guards against an engine under pressure that gets more prefill than a calm one, and one whose large prompts wait for a
+// prompt that its router never sent.
+func TestSpacingEndsAndKeepsTheBacklogLimit(t *testing.T) {
+	m := newTestMachine(4)
+	m.ApplyReport(reportWith(2, nil), at(1))
+	m.RequestGrant(Request{ID: 1, EngineRequestID: "s", Key: adapterKey(0), PromptTokens: 100, GapTarget: 500 * time.Millisecond}, at(2))
+	large := Request{ID: 2, EngineRequestID: "d", Key: adapterKey(1), PromptTokens: 6400, MaxWait: time.Minute, LatencyTarget: time.Minute}
+	m.ApplyReport(reportWith(2, map[string]int{"s": 1}), at(100))
+	m.RequestGrant(large, at(101))
+	m.ApplyReport(reportWith(2, map[string]int{"s": 2, "d": 1}), at(570))
+	for n := range 6 {
+		m.RequestGrant(Request{ID: RequestID(10 + n), Key: adapterKey(0), PromptTokens: 1800, MaxWait: time.Second}, at(571))
+	}
+	decisions(m)
+	large.ID, large.EngineRequestID = 3, "e"
+	m.RequestGrant(large, at(572))
+	if granted(decisions(m)) {
+		t.Error("a large prompt is granted beyond the backlog limit")
+	}
+	for n := range 6 {
+		m.Release(RequestID(10+n), at(573))
+	}
+	if !granted(decisions(m)) {
+		t.Fatal("the large prompt is not granted after the small ones")
+	}
+	large.ID, large.EngineRequestID = 4, "f"
+	m.RequestGrant(large, at(600)) // The one before is never seen in a report.
+	if granted(decisions(m)) {
+		t.Error("a large prompt is granted while another one is pending")
+	}
+	for ms, n := 900, 3; ms < 2400; ms, n = ms+300, n+1 {
+		m.ApplyReport(reportWith(2, map[string]int{"s": n}), at(ms))
+	}
+	if !granted(decisions(m)) {
+		t.Error("a large prompt still waits for one that the engine does not know")
+	}
+}
+
 // granted reports whether one of the decisions is a grant.
 func granted(all map[RequestID]Decision) bool {
 	for _, d := range all {
@@ -106,7 +148,16 @@
 	if s.IdleSlotsFor(0) != 1 || s.IdleSlotsFor(2) != 0 {
 		t.Errorf("idle slots for urgent and other requests: %d and %d, want 1 and 0", s.IdleSlotsFor(0), s.IdleSlotsFor(2))
 	}
-	later := at(200).Add(slotReservePeriod)
+	m.Release(9, at(201))
+	for n := range 3 { // They wait for the slot that is kept.
+		m.RequestGrant(Request{ID: RequestID(30 + n), Key: adapterKey(30 + n), Priority: 2, PromptTokens: 100, MaxWait: 3 * time.Second, LatencyTarget: 3 * time.Second}, at(202))
+	}
+	decisions(m)
+	m.RequestGrant(Request{ID: 40, Key: adapterKey(40), PromptTokens: 100, MaxWait: time.Second, LatencyTarget: time.Second}, at(203))
+	if d, refused := decisions(m)[40]; refused {
+		t.Errorf("urgent request refused behind less urgent ones with a slot idle: %+v", d)
+	}
+	later := at(203).Add(slotReservePeriod)
 	if s := m.Snapshot(later); s.IdleSlotsFor(2) != s.IdleAdapterSlots {
 		t.Errorf("%d of %d slots are kept after the last urgent request", s.ReservedSlots, s.IdleAdapterSlots)
 	}
--- a/internal/policy/grants/slot_reserve.go
+++ b/internal/policy/grants/slot_reserve.go
@@ -6,7 +6,7 @@
 	// slotReservePeriod is how long adapter slots are kept after the last more urgent request for an adapter without one. The
 	// runs that free a slot take seconds.
 	slotReservePeriod = 2 * time.Second
-	// slotsPerReserved is the number of adapter slots of which one is kept.
+	// slotsPerReserved is the number of adapter slots of which one is kept, one of 4 to 7 and none of fewer.
 	slotsPerReserved = 4
 )
 
@@ -30,9 +30,10 @@
 	return NumPriorities
 }
 
-// reservedSlotsFor returns how many idle adapter slots a request of a priority must leave.
-func (m *Machine) reservedSlotsFor(priority int, now time.Time) int {
-	if !m.config.KeepUrgentSlots || priority <= m.slotReserve.mostUrgent(now) {
+// reservedSlotsFor returns how many idle adapter slots a request must leave. A continuation leaves none: it goes on with work
+// that has begun, on one of few engines.
+func (m *Machine) reservedSlotsFor(r Request, now time.Time) int {
+	if !m.config.KeepUrgentSlots || r.Continuation || r.Priority <= m.slotReserve.mostUrgent(now) {
 		return 0
 	}
 	return m.limits.AdapterSlots / slotsPerReserved
--- a/internal/policy/grants/types.go
+++ b/internal/policy/grants/types.go
@@ -177,20 +177,29 @@
 
 // Snapshot is the state of an engine that routers receive.
 type Snapshot struct {
-	Alive             bool               `json:"alive"`
-	Draining          bool               `json:"draining"` // The engine takes no new requests.
-	Incarnation       int64              `json:"born"`
-	Models            []string           `json:"models"`
-	Adapters          []AdapterState     `json:"adapters"`
-	IdleAdapterSlots  int                `json:"idle"`     // Adapter slots that are empty or hold an idle adapter.
-	ReservedSlots     int                `json:"reserved"` // Of these, slots that are kept for requests of ReservedFor or a more urgent priority.
-	ReservedFor       int                `json:"reservedFor"`
-	LoadingAdapters   int                `json:"coming"`   // Adapters that are loading.
-	PrefillWaitMS     [NumPriorities]int `json:"waitMs"`   // Expected wait by priority, for a resident adapter; at least RateWaitMS.
-	RateWaitMS        int                `json:"rateMs"`   // Expected wait because of the engine's rate limit; 0 without one.
-	Slowdown          float64            `json:"slowness"` // Prefill time as a multiple of the time at normal speed.
-	LateEventRate     float64            `json:"slow"`     // Recent fraction of events whose gap exceeded the gap target, 0 to 1.
-	AdapterSlotWaitMS float64            `json:"placeMs"`  // Expected wait for an adapter slot.
+	Alive              bool               `json:"alive"`
+	Draining           bool               `json:"draining"` // The engine takes no new requests.
+	Incarnation        int64              `json:"born"`
+	Models             []string           `json:"models"`
+	Adapters           []AdapterState     `json:"adapters"`
+	IdleAdapterSlots   int                `json:"idle"`     // Adapter slots that are empty or hold an idle adapter.
+	ReservedSlots      int                `json:"reserved"` // Of these, slots that are kept for requests of ReservedFor or a more urgent priority.
+	ReservedFor        int                `json:"reservedFor"`
+	ReservedSlotWaitMS float64            `json:"reservedMs"` // Expected wait for an adapter slot of a request that leaves the reserved ones.
+	LoadingAdapters    int                `json:"coming"`     // Adapters that are loading.
+	PrefillWaitMS      [NumPriorities]int `json:"waitMs"`     // Expected wait by priority, for a resident adapter; at least RateWaitMS.
+	RateWaitMS         int                `json:"rateMs"`     // Expected wait because of the engine's rate limit; 0 without one.
+	Slowdown           float64            `json:"slowness"`   // Prefill time as a multiple of the time at normal speed.
+	LateEventRate      float64            `json:"slow"`       // Recent fraction of events whose gap exceeded the gap target, 0 to 1.
+	AdapterSlotWaitMS  float64            `json:"placeMs"`    // Expected wait for an adapter slot.
+}
+
+// SlotWaitFor returns the expected wait for an adapter slot of a request of a priority, if none is idle for it.
+func (s Snapshot) SlotWaitFor(priority int) float64 {
+	if priority <= s.ReservedFor {
+		return s.AdapterSlotWaitMS
+	}
+	return max(s.AdapterSlotWaitMS, s.ReservedSlotWaitMS)
 }
 
 // IdleSlotsFor returns the adapter slots that are idle for requests of a priority.
--- a/internal/policy/routing/engines.go
+++ b/internal/policy/routing/engines.go
@@ -295,7 +295,7 @@
 		}
 	}
 	if e.Snapshot.IdleSlotsFor(job.Priority) == 0 {
-		wait += millis.Duration(e.Snapshot.AdapterSlotWaitMS)
+		wait += millis.Duration(e.Snapshot.SlotWaitFor(job.Priority))
 	}
 	return wait, cost
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -76,7 +76,7 @@
 type Decision struct {
 	Admitted   bool
 	RetryAfter time.Duration // If not admitted: time until the request would be admitted.
-	OwnerVM    string        // VM of the quota owner that decided; "" for this router.
+	OwnerVM    string        // VM that was asked, the owner or a router that passed the call on to it; "" for this router.
 	Isolated   bool          // Decided by this router alone because it is isolated from the others.
 }
 
@@ -204,8 +204,8 @@
 	return owners[0], true
 }
 
-// forward passes a call of another router on to the owner ahead of this router. passed is false if there is none. The owner may have
-// handled a call that returns an error.
+// forward passes a call of another router on to the owner ahead of this router. passed is false if there is none, or if it is known to
+// be gone by now. The owner may have handled a call that returns an error.
 func (l *Ledger) forward(ctx context.Context, path string, req quotaRequest, reply any) (passed bool, err error) {
 	owner, ok := l.ownerAhead(req.Organisation)
 	if !ok || req.Forwarded || owner.VM == req.From {
@@ -214,7 +214,15 @@
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	req.Forwarded = true
-	return true, l.peers.Call(ctx, owner, path, req, reply)
+	err = l.peers.Call(ctx, owner, path, req, reply)
+	if err != nil && ctx.Err() != nil {
+		go func() {
+			// Call records whether the owner responds within the usual time. If not, the next call is not passed on.
+			_ = l.peers.Call(context.WithoutCancel(ctx), owner, PathPing, nil, nil)
+		}()
+		return true, err
+	}
+	return err == nil, err
 }
 
 // returnLocal returns units to a bucket if this router owns it.
@@ -241,7 +249,11 @@
 			return
 		}
 		var reply takeReply
-		if passed, err := l.forward(httpReq.Context(), PathTake, req, &reply); !passed || err != nil {
+		passed, err := l.forward(httpReq.Context(), PathTake, req, &reply)
+		switch {
+		case passed && err != nil:
+			reply = takeReply{WaitMS: forwardTimeout.Milliseconds()} // The owner may have taken the units.
+		case !passed:
 			taken, wait := l.takeLocal(httpReq.Context(), o, req.Units)
 			reply = takeReply{Taken: taken, WaitMS: wait.Milliseconds()}
 		}
--- a/internal/quota/peers.go
+++ b/internal/quota/peers.go
@@ -458,7 +458,8 @@
 	case <-timeout.C:
 		r.err = errors.Errorf("POST %s of router %s: no response within %s", path, to.VM, callTimeout)
 	case <-ctx.Done():
-		r.err = ctx.Err()
+		// The caller gives up, which says nothing about the router.
+		return errors.WithType(ctx.Err(), ErrNoResponse)
 	}
 	if r.err == nil && reply != nil {
 		r.err = json.Unmarshal(r.body, reply)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -421,3 +421,40 @@
 		t.Errorf("balance %.0f above the burst %.0f", b.balance, b.burst)
 	}
 }
+
+// Guards against a bucket that leaves an owner which responds late, but within the time of an ordinary call.
+func TestSlowOwnerKeepsItsBucket(t *testing.T) {
+	o := &catalog.Organisation{Name: "smithy", Rate: 1e6, Burst: 1e6}
+	all := newRouters(t, o, "r1", "r2", "r3", "r4", "r5")
+	ranking := all["r1"].peers.ranking(o.Name, time.Now())
+	nameOf := func(c candidate) string { return cmp.Or(c.VM, "r1") }
+	owner, caller := nameOf(ranking[0]), nameOf(ranking[4])
+	all[caller].ledger.Take(t.Context(), o, 1)
+	all[owner].delay.Store(int64(callTimeout * 2 / 3))
+	for range 6 {
+		all[caller].peers.recordCall(Peer{VM: owner, Address: all[owner].server.Listener.Addr().String()}, ErrNoResponse)
+		all[caller].ledger.Take(t.Context(), o, 1)
+	}
+	l := all[owner].ledger
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.buckets[o.Name] == nil || len(l.surrendered) > 0 {
+		t.Error("the bucket left its owner")
+	}
+}
+
+// Guards against a router that counts as unreachable because a caller disconnected while it was called.
+func TestCallerThatLeavesMakesNoRouterUnreachable(t *testing.T) {
+	o := &catalog.Organisation{Name: "smithy", Rate: 1000, Burst: 500}
+	all := newRouters(t, o, "r1", "r2")
+	to := Peer{VM: "r2", Address: all["r2"].server.Listener.Addr().String()}
+	all["r2"].delay.Store(int64(100 * time.Millisecond))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	if err := all["r1"].peers.Call(ctx, to, PathPing, nil, nil); err == nil {
+		t.Fatal("Call() succeeded after its context had ended")
+	}
+	if !all["r1"].peers.checkReachable(t.Context(), "r2") {
+		t.Error("r2 counts as unreachable")
+	}
+}
