--- a/internal/quota/peers.go
+++ b/internal/quota/peers.go
@@ -488,7 +488,8 @@
 	case <-timeout.C:
 		r.err = errors.Errorf("POST %s of router %s: no response within %s", path, to.VM, callTimeout)
 	case <-ctx.Done():
-		r.err = ctx.Err()
+		// The caller gives up, which says nothing about the router.
+		return errors.WithType(ctx.Err(), ErrNoResponse)
 	}
 	if r.err == nil && reply != nil {
 		r.err = json.Unmarshal(r.body, reply)
@@ -528,6 +529,15 @@
 	p.lateAt = time.Now()
 }
 
+// markResponding records that a router that calls this one is running.
+func (p *Peers) markResponding(vm string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other := p.byVM[vm]; other != nil {
+		other.respondedAt, other.unreachableUntil = time.Now(), time.Time{}
+	}
+}
+
 // recordCall records the result of a call in the router's state.
 func (p *Peers) recordCall(to Peer, err error) {
 	p.mu.Lock()
