Upstream: bodies in pieces, bounded socket buffers

Cause: a request to an endpoint needs its body as one slice, and the socket buffers grow to several megabytes each. Change: Request.Pieces is sent after Body; Request.Sent tells when neither is read any longer, so that pieces can be used again. Fingerprints accept bodies in pieces. Pool.SocketBytes bounds the buffers of sockets to endpoints; 0 leaves them.

--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -31,20 +31,26 @@
 // and body. It contains no text of the request.
 type Fingerprint string
 
-// NewFingerprint returns the fingerprint of a request.
-func NewFingerprint(org ident.Organisation, route string, body []byte) Fingerprint {
+// NewFingerprint returns the fingerprint of a request, whose body may be in pieces.
+func NewFingerprint(org ident.Organisation, route string, body ...[]byte) Fingerprint {
 	h := sha256.New()
 	writePart(h, []byte(org))
 	writePart(h, []byte(route))
-	writePart(h, body)
+	writePart(h, body...)
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
 
-func writePart(h hash.Hash, part []byte) {
+func writePart(h hash.Hash, pieces ...[]byte) {
+	length := 0
+	for _, piece := range pieces {
+		length += len(piece)
+	}
 	var size [8]byte
-	binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+	binary.BigEndian.PutUint64(size[:], uint64(length))
 	_, _ = h.Write(size[:]) // A hash.Hash never returns an error.
-	_, _ = h.Write(part)
+	for _, piece := range pieces {
+		_, _ = h.Write(piece)
+	}
 }
 
 // Limits bounds the decisions and the size of a CrashTracker.
--- a/internal/upstream/encode.go
+++ b/internal/upstream/encode.go
@@ -11,8 +11,8 @@
 	var b bytes.Buffer // Writes to a Buffer return no error.
 	_, _ = fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	_ = r.Header.WriteSubset(&b, framingHeaders)
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		_, _ = fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+	if n := r.bodyLen(); n > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		_, _ = fmt.Fprintf(&b, "Content-Length: %d\r\n", n)
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -15,7 +15,7 @@
 	"github.com/juju/errors"
 )
 
-// Request is a request to an endpoint. Body holds the complete body, so that the
+// Request is a request to an endpoint. Body and Pieces hold the complete body, so that the
 // caller of Do can send an idempotent request again.
 type Request struct {
 	// ID is the request id that the response repeats. All attempts of a request have the same one, and two callers may choose
@@ -26,7 +26,10 @@
 	Host          string
 	Header        http.Header
 	Body          []byte
-	NonIdempotent bool // The request must not run twice.
+	Pieces        [][]byte // Body in pieces, sent after Body.
+	NonIdempotent bool     // The request must not run twice.
+	// Sent, if set, is called once when Do and the sending in the background no longer read Body and Pieces.
+	Sent func()
 	// MatchResponse decides whether a response belongs to this request. Responses of earlier
 	// requests on a reused connection are skipped. Nil accepts every response.
 	MatchResponse func(http.Header) Match
@@ -83,6 +86,9 @@
 func (p *Pool) Do(ctx context.Context, address string, r *Request, silence time.Duration) (*Response, error) {
 	c, err := p.get(ctx, address, r)
 	if err != nil {
+		if r.Sent != nil {
+			r.Sent()
+		}
 		return nil, err
 	}
 	x := &exchange{pool: p, address: address, conn: c, sent: make(chan struct{}), anonymous: r.ID == ""}
@@ -111,21 +117,33 @@
 // before it does so.
 const maxBlockingSend = 4 << 10
 
+// bodyLen returns the length of the body.
+func (r *Request) bodyLen() int {
+	n := len(r.Body)
+	for _, piece := range r.Pieces {
+		n += len(piece)
+	}
+	return n
+}
+
 // startSend sends the request. Requests above maxBlockingSend are sent in the
 // background.
 func (x *exchange) startSend(r *Request) {
 	head := encodeHead(r)
-	if len(head)+len(r.Body) <= maxBlockingSend {
-		x.send(head, r.Body)
+	if len(head)+r.bodyLen() <= maxBlockingSend {
+		x.send(head, r)
 		return
 	}
-	go x.send(head, r.Body)
+	go x.send(head, r)
 }
 
 // send writes the request to the connection and closes sent.
-func (x *exchange) send(head, body []byte) {
+func (x *exchange) send(head []byte, r *Request) {
+	if r.Sent != nil {
+		defer r.Sent()
+	}
 	defer close(x.sent)
-	parts := net.Buffers{head, body}
+	parts := append(net.Buffers{head, r.Body}, r.Pieces...)
 	n, err := parts.WriteTo(x.conn.Conn)
 	x.anySent, x.sendErr = n > 0, err
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/sockopt"
 )
 
 // Types of the errors of Pool.Do and Response.Body.
@@ -66,6 +68,8 @@
 	idle    map[string][]*conn
 	unnamed map[string]time.Time // By address: when its last response came that named no request.
 	OnDial  func()               // Called for each new connection; may be nil. Not guarded by mu.
+	// SocketBytes bounds the buffers of the sockets that the dialer of NewPool opens, unless it is 0. Not guarded by mu.
+	SocketBytes int
 }
 
 // conn is a pooled connection.
@@ -81,12 +85,19 @@
 
 // NewPool returns an empty Pool that dials TCP.
 func NewPool() *Pool {
+	p := &Pool{idle: make(map[string][]*conn), unnamed: make(map[string]time.Time)}
 	d := &net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-		Control:         setUserTimeout,
+		Control: func(network, address string, raw syscall.RawConn) error {
+			if err := setUserTimeout(network, address, raw); err != nil {
+				return err
+			}
+			return sockopt.SetBuffers(raw, p.SocketBytes)
+		},
 	}
-	return &Pool{Dial: d.DialContext, idle: make(map[string][]*conn), unnamed: make(map[string]time.Time)}
+	p.Dial = d.DialContext
+	return p
 }
 
 // tcpUserTimeout is the Linux option TCP_USER_TIMEOUT, missing in package syscall.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -449,3 +449,54 @@
 		t.Errorf("2 requests used %d connections, want 2", n)
 	}
 }
+
+// Pieces of a body are used for other requests once Sent was called: that must be after the last byte was sent, and once whatever
+// the outcome.
+func TestPiecesAreSentBeforeTheyAreReturned(t *testing.T) {
+	bodies := make(chan string, 1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/early" {
+			w.WriteHeader(http.StatusServiceUnavailable) // Responds before the body was read.
+			return
+		}
+		data, _ := io.ReadAll(r.Body)
+		bodies <- string(data)
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	large := strings.Repeat("0123456789", 200<<10)
+	for _, c := range []struct{ name, address, uri, body string }{
+		{"small", l.Addr().String(), "/", "0123456789"},
+		{"large", l.Addr().String(), "/", large},
+		{"early response", l.Addr().String(), "/early", large},
+		{"not reached", "127.0.0.1:1", "/", large},
+	} {
+		pieces := [][]byte{[]byte(c.body[:3]), []byte(c.body[3:7]), []byte(c.body[7:])}
+		returned := make(chan struct{}, 2)
+		r := newRequest(c.name)
+		r.URI, r.Body, r.Pieces = c.uri, nil, pieces
+		r.Sent = func() {
+			clear(pieces[2]) // As another request does that uses the piece.
+			returned <- struct{}{}
+		}
+		resp, err := NewPool().Do(t.Context(), c.address, r, 0)
+		if err == nil {
+			_, _ = readBody(t, resp)
+		}
+		<-returned
+		if c.uri == "/" && err == nil {
+			if got := <-bodies; got != c.body {
+				t.Errorf("%s: the endpoint received %d bytes that differ from the %d sent", c.name, len(got), len(c.body))
+			}
+		}
+		select {
+		case <-returned:
+			t.Errorf("%s: Sent was called twice", c.name)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
