Router: bodies, responses and long events are held within a memory budget

Cause: a crowd of callers that stop just short of the end of their bodies made the router hold several times the sum of the bodies (153 MB on a VM of 96 MB), unread responses and streams filled socket buffers with up to 397 MB. Bodies are read into pieces and sent from them. Sockets to callers and endpoints have buffers of 64 KB. The rest of a refused body is awaited for 1 s; there was no bound. Metrics memory_held_bytes, memory_refused_total, memory_yielded_total by kind.

--- a/internal/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -190,9 +190,9 @@
 	return complete
 }
 
-// BeginWriting records that the bytes are being written to their reader.
-func (a *Account) BeginWriting() {
-	a.do(func(b *memorybudget.Budget) { b.BeginWriting(a.holder, time.Now()) })
+// SetWriting records whether the bytes are being written to their reader.
+func (a *Account) SetWriting(writing bool) {
+	a.do(func(b *memorybudget.Budget) { b.SetWriting(a.holder, writing, time.Now()) })
 }
 
 // Yielded reports whether the account has lost its bytes to another one.
@@ -243,7 +243,12 @@
 }
 
 // Account returns the account of the body.
-func (b *Body) Account() *Account { return b.account }
+func (b *Body) Account() *Account {
+	if b == nil {
+		return nil
+	}
+	return b.account
+}
 
 // Retain adds a user.
 func (b *Body) Retain() {
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -26,7 +26,11 @@
 // takes less than 1 KB.
 const MaxEventBytes = 1 << 20
 
-const readBufferBytes = 4 << 10
+const (
+	readBufferBytes = 4 << 10
+	// growthFactor is the growth of the buffer for an event that does not fit.
+	growthFactor = 4
+)
 
 // Event is one complete event.
 type Event struct {
@@ -36,6 +40,10 @@
 
 // Reader reads events from a stream.
 type Reader struct {
+	// Reserve, if set, is called before the buffer for events grows by n bytes, and with a negative n after it has
+	// shrunk. Its error ends the stream. The first readBufferBytes are not reserved.
+	Reserve func(n int) error
+
 	br  *bufio.Reader
 	buf []byte // Bytes of the current event.
 }
@@ -50,11 +58,20 @@
 // for an event of more than MaxEventBytes, ErrMalformed for a line that is no field, and otherwise the
 // error of the stream.
 func (r *Reader) Next() (Event, error) {
+	if cap(r.buf) > readBufferBytes && len(r.buf) < cap(r.buf)/growthFactor/growthFactor {
+		if r.Reserve != nil {
+			_ = r.Reserve(-cap(r.buf)) // Bytes can always be returned.
+		}
+		r.buf = nil // Long events have ended.
+	}
 	r.buf = r.buf[:0]
 	id := ""
 	begun := false // The buffer ends within a line.
 	for {
 		line, err := r.br.ReadSlice('\n')
+		if err := r.grow(len(line)); err != nil {
+			return Event{}, err
+		}
 		r.buf = append(r.buf, line...)
 		if err == bufio.ErrBufferFull {
 			begun = true
@@ -90,6 +107,29 @@
 	}
 }
 
+// grow makes room for n more bytes of the current event.
+func (r *Reader) grow(n int) error {
+	if len(r.buf)+n <= cap(r.buf) {
+		return nil
+	}
+	size := max(cap(r.buf), readBufferBytes)
+	for size < len(r.buf)+n {
+		size *= growthFactor
+	}
+	size = min(size, MaxEventBytes+readBufferBytes)
+	former := cap(r.buf)
+	if r.Reserve != nil && size > readBufferBytes {
+		if err := r.Reserve(size); err != nil {
+			return err
+		}
+	}
+	r.buf = append(make([]byte, 0, size), r.buf...)
+	if r.Reserve != nil && former > readBufferBytes {
+		return r.Reserve(-former)
+	}
+	return nil
+}
+
 // isField reports whether a line is blank, a comment or a field. A field without a value may lack the colon.
 func isField(line []byte) bool {
 	switch string(line) {
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -96,3 +96,31 @@
 		}
 	}
 }
+
+// The buffer of a stream with long events counts toward the memory of the process, and is returned after them.
+func TestBufferForLongEventsIsReserved(t *testing.T) {
+	long := "data: " + strings.Repeat("x", MaxEventBytes-100) + "\n\n"
+	r := NewReader(strings.NewReader("id: 1\n\n" + long + long + "id: 2\n\nid: 3\n\n"))
+	reserved, most := 0, 0
+	r.Reserve = func(n int) error {
+		reserved += n
+		most = max(most, reserved)
+		return nil
+	}
+	for n := range 5 {
+		if _, err := r.Next(); err != nil {
+			t.Fatal(err)
+		}
+		if n == 1 && reserved < len(long) {
+			t.Errorf("%d bytes reserved for an event of %d", reserved, len(long))
+		}
+	}
+	if reserved != 0 || most > 2*MaxEventBytes {
+		t.Errorf("%d bytes are still reserved after long events, at most %d were", reserved, most)
+	}
+	r = NewReader(strings.NewReader(long))
+	r.Reserve = func(int) error { return io.ErrShortBuffer }
+	if _, err := r.Next(); err != io.ErrShortBuffer {
+		t.Errorf("error %v without room, want that of Reserve", err)
+	}
+}
--- a/internal/policy/memorybudget/memorybudget.go
+++ b/internal/policy/memorybudget/memorybudget.go
@@ -154,9 +154,9 @@
 	b.byKind[h.Kind] += h.held
 }
 
-// BeginWriting records that the bytes of a response are being written to their reader.
-func (b *Budget) BeginWriting(h *Holder, now time.Time) {
-	h.writing, h.progressed, h.progressAt = true, 0, now
+// SetWriting records whether the bytes of a response are being written to their reader.
+func (b *Budget) SetWriting(h *Holder, writing bool, now time.Time) {
+	h.writing, h.progressed, h.progressAt = writing, 0, now
 }
 
 // Reserve asks for n more bytes.
--- a/internal/policy/memorybudget/memorybudget_test.go
+++ b/internal/policy/memorybudget/memorybudget_test.go
@@ -148,7 +148,7 @@
 				b.Release(pick(), rapid.Int64Range(0, 100<<10).Draw(t, "released"))
 			case step == 5:
 				if h := pick(); h.Kind == KindResponse {
-					b.BeginWriting(h, now)
+					b.SetWriting(h, rapid.Bool().Draw(t, "writing"), now)
 				}
 			default:
 				h := pick()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -24,6 +24,8 @@
 	"github.com/thejerf/suture/v4"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/sockopt"
 )
 
 // ErrListen means that a listen address cannot be opened.
@@ -133,6 +135,16 @@
 	return l, nil
 }
 
+// ListenBuffered is like Listen, and bounds the buffers of each connection's socket to bytes unless that is 0.
+func ListenBuffered(address string, bytes int) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return sockopt.SetBuffers(raw, bytes) }}
+	l, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, errors.WithType(err, ErrListen)
+	}
+	return l, nil
+}
+
 // HTTPServer is a supervised HTTP server on an open listener.
 type HTTPServer struct {
 	Name     string
--- a/internal/refusal/new.go
+++ b/internal/refusal/new.go
@@ -42,6 +42,7 @@
 	CodeOutcomeUnknown:       {http.StatusConflict, TypeConflict},
 	CodeResponseNotStored:    {http.StatusConflict, TypeConflict},
 	CodeStreamNotResumable:   {http.StatusServiceUnavailable, TypeUnavailable},
+	CodeNoMemory:             {http.StatusServiceUnavailable, TypeUnavailable},
 }
 
 // New returns a refusal with the status and type of its code. The message is one
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -79,6 +79,7 @@
 	CodeOutcomeUnknown       Code = "outcome_unknown"
 	CodeResponseNotStored    Code = "answer_not_kept"
 	CodeStreamNotResumable   Code = "stream_not_resumable"
+	CodeNoMemory             Code = "no_memory"
 )
 
 // Refusal is the response to a request that has no result. It implements error, so
--- a/internal/router/crashtracker.go
+++ b/internal/router/crashtracker.go
@@ -107,8 +107,8 @@
 }
 
 // fingerprint returns the fingerprint of a request.
-func fingerprint(org, method, uri string, body []byte) quarantine.Fingerprint {
-	return quarantine.NewFingerprint(ident.Organisation(org), method+" "+uri, body)
+func fingerprint(org, method, uri string, body ...[]byte) quarantine.Fingerprint {
+	return quarantine.NewFingerprint(ident.Organisation(org), method+" "+uri, body...)
 }
 
 // quarantined reports whether a request is quarantined. It calls fingerprint only while the
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/quarantine"
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
@@ -37,7 +34,11 @@
 	q.ctx = in.Context()
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
+	defer q.release()
 	defer r.finish(q)
+	if r.memory != nil {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // That of the previous response.
+	}
 	if len(in.TransferEncoding) > 0 || r.draining.Load() {
 		// A proxy could place the end of a chunked body elsewhere (request smuggling),
 		// so the connection serves no further request.
@@ -114,31 +115,6 @@
 	return d
 }
 
-// readBody reads the whole body, so that the request can be sent more than once. If it fails,
-// readBody writes the refusal and returns false.
-func (r *Router) readBody(q *request) bool {
-	maxBytes := q.config.Limits.MaxBodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	control := http.NewResponseController(q.w)
-	_ = control.SetReadDeadline(q.arrived.Add(min(bodyTimeout, q.deadline.Sub(q.arrived))))
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.in.Body, maxBytes))
-	_ = control.SetReadDeadline(time.Time{})
-	if err == nil {
-		q.body = body
-		return true
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		r.refuse(q, refusal.CodeRequestTooLarge, "The body is too large.", 0)
-		return false
-	}
-	q.w.Header().Set("Connection", "close")
-	r.refuse(q, refusal.CodeBadRequest, "The body could not be read.", 0)
-	return false
-}
-
 // checkQuarantine refuses a quarantined request. It returns false if it has refused the
 // request.
 func (r *Router) checkQuarantine(q *request) bool {
@@ -202,7 +178,7 @@
 	if q.org != nil {
 		org = q.org.Name
 	}
-	return fingerprint(org, q.in.Method, q.in.RequestURI, q.body)
+	return fingerprint(org, q.in.Method, q.in.RequestURI, q.body.Pieces()...)
 }
 
 // takeQuota takes the request's units from its organisation's quota. If the quota is used up,
--- a/internal/router/refuse.go
+++ b/internal/router/refuse.go
@@ -38,6 +38,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	q.trace.status = f.Status
+	q.limitUnreadBody()
+	r.limitWrite(q)
 	platform.SetRequestID(q.w.Header(), q.call.RequestID)
 	f.Write(q.w)
 	q.ended = true
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/bodies"
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/streamorigin"
 	"github.com/hyssoptiller/hyssoptiller/internal/refusal"
@@ -27,8 +28,10 @@
 	route     *catalog.Route
 	org       *catalog.Organisation // Nil on a public route.
 	service   *catalog.Service
-	body      []byte
-	units     float64 // Taken from the organisation's quota and not returned.
+	body      *bodies.Body   // Nil if the request has none.
+	bodyRead  bool           // The body was read to its end.
+	responses []*bodies.Body // Responses that were read for the request.
+	units     float64        // Taken from the organisation's quota and not returned.
 
 	tried        map[catalog.EndpointID]bool // Endpoints that are not tried again.
 	delivered    int                         // Sends that reached an endpoint.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/bodies"
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/crashrecords"
 	"github.com/hyssoptiller/hyssoptiller/internal/peerconn"
@@ -71,6 +72,7 @@
 	counters        *Counters
 	metrics         *process.Metrics
 	store           *platform.StoreClient
+	memory          *bodies.Memory // Nil without a limit.
 
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -85,6 +87,8 @@
 		counters: NewCounters(metrics.Scope.SubScope("router")), state: catalog.NewState(),
 		store: platform.NewStoreClient(s.StoreAddress),
 	}
+	r.memory = newMemory(s, r.counters.scope)
+	r.pool.SocketBytes = s.socketBuffers()
 	r.pool.OnDial = func() { r.counters.connections.Inc(1) }
 	transport := r.newTransport("schedulers", grantResponseDelay)
 	r.schedulerConns = newSchedulerConns(s.SchedulerPort, transport, log)
@@ -149,7 +153,7 @@
 	for _, address := range []string{
 		r.settings.CallersAddress, r.settings.ReadyAddress, r.settings.PeersAddress, r.settings.AdminAddress,
 	} {
-		l, err := process.Listen(address)
+		l, err := process.ListenBuffered(address, r.settings.socketBuffers())
 		if err != nil {
 			return err
 		}
@@ -261,6 +265,7 @@
 			r.schedulerConns.checkLate(now)
 		case now := <-sweep.C:
 			r.pool.CloseExpired(now)
+			r.reportMemory()
 			r.endpointLimits.Prune(r.state.View(), now)
 		}
 	}
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -144,6 +144,9 @@
 	case resultCancelled:
 		r.finishLate(q)
 		return true
+	case resultNoRoom:
+		r.refuse(q, refusal.CodeNoMemory, "There is no memory for the response; the request may have run.", noRoomRetryAfter)
+		return true
 	default:
 		return false
 	}
@@ -183,7 +186,7 @@
 		h.RecordUnreachable(now)
 	case resultBroken, resultFailed:
 		h.RecordFailure(now)
-	case resultNotRun, resultCancelled:
+	case resultNotRun, resultCancelled, resultNoRoom:
 	}
 }
 
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/bodies"
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/availability"
 	"github.com/hyssoptiller/hyssoptiller/internal/upstream"
@@ -27,10 +27,11 @@
 	resultBroken                    // The endpoint may have run the request; there is no complete response.
 	resultResponded                 // The response is complete, or a stream has started.
 	resultCancelled                 // The caller disconnected or the deadline passed.
+	resultNoRoom                    // The endpoint may have run the request; there is no memory for the response.
 )
 
 // resultNames are the names of the results in the log.
-var resultNames = [...]string{"unreached", "not_run", "misdirected", "failed", "broken", "answered", "left"}
+var resultNames = [...]string{"unreached", "not_run", "misdirected", "failed", "broken", "answered", "left", "no_room"}
 
 const (
 	// maxBufferedBytes bounds a response that is read completely before it is forwarded.
@@ -46,7 +47,7 @@
 type response struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *bodies.Body
 	stream *upstream.Response // Nil unless the response is streamed.
 	from   *placement         // Where the response comes from.
 }
@@ -57,8 +58,9 @@
 	endpoint := p.endpoint
 	upReq := &upstream.Request{
 		ID: q.call.RequestID, Method: q.in.Method, URI: requestURI(q.in), Host: q.in.Host, Header: q.endpointHeader(endpoint.ID, p.adapterVersion()),
-		Body: q.body, NonIdempotent: !q.route.Idempotent(), MatchResponse: q.matchResponse,
+		Pieces: q.body.Pieces(), Sent: q.body.Release, NonIdempotent: !q.route.Idempotent(), MatchResponse: q.matchResponse,
 	}
+	q.body.Retain()
 	upResp, err := r.pool.Do(q.ctx, endpoint.Address, upReq, silenceLimit)
 	if err != nil {
 		q.addEvidence(endpoint.ID, evidenceOf(err))
@@ -92,7 +94,7 @@
 		resp.stream = upResp
 		return resultResponded, resp
 	}
-	return q.readResponse(upResp, resp, head)
+	return r.readResponse(q, upResp, resp, head)
 }
 
 // isDoubtfulRefusal reports whether a refusal may consist of the first bytes of an earlier response and the rest of that to a
@@ -149,24 +151,28 @@
 
 // readResponse reads the whole response before any of it is forwarded, so that a truncated
 // response is never passed on as complete.
-func (q *request) readResponse(upResp *upstream.Response, resp *response, head platform.ResponseHead) (result, *response) {
+func (r *Router) readResponse(q *request, upResp *upstream.Response, resp *response, head platform.ResponseHead) (result, *response) {
 	maxBytes := maxBufferedBytes
 	if upResp.Status >= http.StatusBadRequest {
 		maxBytes = maxFailureBytes
 		upResp.LimitBodyTime(failureBodyTimeout)
 	}
-	body, err := io.ReadAll(io.LimitReader(upResp.Body, int64(maxBytes)+1))
-	upResp.Close(err == nil && len(body) <= maxBytes)
-	if err != nil || len(body) > maxBytes {
+	resp.body = bodies.NewBody(r.openResponse(q, int64(maxBytes)))
+	q.responses = append(q.responses, resp.body)
+	err := resp.body.ReadAll(q.ctx, upResp.Body, int64(maxBytes))
+	upResp.Close(err == nil)
+	if err != nil {
 		if head.NotExecuted {
 			return q.refusalResult(upResp.Status), nil
 		}
+		if errors.Is(err, bodies.ErrNoRoom) && q.ctx.Err() == nil {
+			return resultNoRoom, nil
+		}
 		if q.ctx.Err() != nil {
 			return resultCancelled, nil
 		}
 		return resultBroken, nil
 	}
-	resp.body = body
 	switch {
 	case head.NotExecuted:
 		return q.refusalResult(upResp.Status), resp
@@ -225,14 +231,19 @@
 	for name, values := range platform.ResponseHeader(resp.header) {
 		h[name] = values
 	}
-	h.Set("Content-Length", strconv.Itoa(len(resp.body)))
+	h.Set("Content-Length", strconv.Itoa(resp.body.Len()))
 	q.headerSent = true
 	q.trace.status, q.trace.outcome = resp.status, "answered"
 	q.trace.firstByte = time.Since(q.arrived)
+	r.limitWrite(q)
 	q.w.WriteHeader(resp.status)
-	if _, err := q.w.Write(resp.body); err != nil {
-		q.trace.outcome = "caller_left"
-		return
+	account := resp.body.Account()
+	account.SetWriting(true)
+	for _, piece := range resp.body.Pieces() {
+		if err := r.writeBody(q, account, piece); err != nil {
+			q.trace.outcome = "caller_left"
+			return
+		}
 	}
 	q.ended = true
 }
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/bodies"
 	"github.com/hyssoptiller/hyssoptiller/internal/eventstream"
 	"github.com/hyssoptiller/hyssoptiller/platform"
 )
@@ -20,10 +21,11 @@
 func (r *Router) forwardStream(q *request, resp *response, silenceLimit time.Duration) result {
 	complete := false
 	defer func() { resp.stream.Close(complete) }()
-	source := newEventSource(resp.stream.Body)
+	source := r.newEventSource(q, resp.stream.Body)
 	defer source.stop()
 	for {
-		e, err := r.nextEvent(q, source, silenceLimit)
+		next := r.nextEvent(q, source, silenceLimit)
+		e, err := next.event, next.err
 		if err == io.EOF && q.attemptBegunAt.IsZero() && !resp.stream.SelfDelimited() {
 			return resultBroken // Without an event, the end of the connection is no evidence of a complete stream.
 		}
@@ -36,6 +38,9 @@
 			if q.ctx.Err() != nil {
 				return resultCancelled
 			}
+			if errors.Is(err, bodies.ErrNoRoom) {
+				return resultNoRoom
+			}
 			return resultBroken
 		}
 		if !eventstream.Follows(cmp.Or(q.lastEventID, q.call.LastEventID), e.ID) {
@@ -46,7 +51,7 @@
 			q.addStep(resp.from.endpoint.ID, "software_changed")
 			return resultBroken
 		}
-		if !r.forwardEvent(q, resp, e) {
+		if !r.forwardEvent(q, resp, next) {
 			return resultCancelled
 		}
 	}
@@ -56,7 +61,7 @@
 const errSilent = errors.ConstError("endpoint sends nothing")
 
 // nextEvent returns the next event of a stream, or errSilent once the stream is to be given up.
-func (r *Router) nextEvent(q *request, source *eventSource, silenceLimit time.Duration) (eventstream.Event, error) {
+func (r *Router) nextEvent(q *request, source *eventSource, silenceLimit time.Duration) eventResult {
 	source.request()
 	for {
 		var silent <-chan time.Time
@@ -67,11 +72,11 @@
 		}
 		select {
 		case next := <-source.results:
-			return next.event, next.err
+			return next
 		case <-silent:
 		}
 		if q.attemptBegunAt.IsZero() {
-			return eventstream.Event{}, errSilent
+			return eventResult{err: errSilent}
 		}
 		if !r.takeNextPlacement(q) {
 			continue // The endpoint may be slow but sound.
@@ -80,9 +85,9 @@
 		case next := <-source.results:
 			q.next.release()
 			q.next = nil
-			return next.event, next.err
+			return next
 		default:
-			return eventstream.Event{}, errSilent
+			return eventResult{err: errSilent}
 		}
 	}
 }
@@ -108,18 +113,31 @@
 
 // eventResult is an event or the error in its place.
 type eventResult struct {
-	event eventstream.Event
-	err   error
+	event   eventstream.Event
+	err     error
+	account *bodies.Account // Of the buffer that holds the event; nil for a short one.
 }
 
 // newEventSource returns a source of the events of body. It reads until body ends or fails, or until stop.
-func newEventSource(body io.Reader) *eventSource {
+func (r *Router) newEventSource(q *request, body io.Reader) *eventSource {
 	s := &eventSource{requests: make(chan struct{}, 1), results: make(chan eventResult, 1)}
 	go func() {
+		var account *bodies.Account
+		defer func() { account.Close() }()
 		events := eventstream.NewReader(body)
+		events.Reserve = func(n int) error {
+			if n < 0 {
+				account.Release(-n)
+				return nil
+			}
+			if account == nil {
+				account = r.openResponse(q, eventstream.MaxEventBytes)
+			}
+			return account.Reserve(q.ctx, n)
+		}
 		for range s.requests {
 			e, err := events.Next()
-			s.results <- eventResult{e, err}
+			s.results <- eventResult{e, err, account}
 		}
 	}()
 	return s
@@ -133,9 +151,13 @@
 
 // forwardEvent writes one event to the caller. It returns false if the caller has
 // disconnected.
-func (r *Router) forwardEvent(q *request, resp *response, e eventstream.Event) bool {
+func (r *Router) forwardEvent(q *request, resp *response, next eventResult) bool {
+	e := next.event
+	next.account.SetWriting(true)
+	defer next.account.SetWriting(false)
+	r.limitWrite(q)
 	r.writeStreamHeader(q, resp)
-	if _, err := q.w.Write(e.Raw); err != nil {
+	if err := r.writeBody(q, next.account, e.Raw); err != nil {
 		q.trace.outcome = "caller_left_midway"
 		return false
 	}
