Router: bounds on connections and unfinished requests of callers

Cause: callers that open connections and stop within a header section took 718 descriptors of 400; nothing bounds the connections. Change: policy/connections decides which connection is closed when there are too many: of the address that has most of them, the one without progress for longest; never one whose request is served. Package connlimit carries it out for callers, readiness and metrics. Readiness and metrics have time limits and 16 times smaller headers than before.

--- a/cmd/hyssop-router/main.go
+++ b/cmd/hyssop-router/main.go
@@ -35,6 +35,7 @@
 	process.AddFlag(app, "store", "Address (host:port) of the platform's key-value store.").StringVar(&s.StoreAddress)
 	process.AddFlag(app, "scheduler-port", "Port on which the scheduler of each engine VM listens.").IntVar(&s.SchedulerPort)
 	process.AddFlag(app, "memory-mb", "Memory of this VM in MB; 0 sets no memory limit.").Default("0").IntVar(&s.MemoryMB)
+	process.AddFlag(app, "max-fds", "File descriptors of this VM; 0 sets no limit for the connections of callers.").Default("0").IntVar(&s.MaxFDs)
 	process.AddFlag(app, "link-mbps", "Rate of this VM's link in Mbit/s; 0 if unknown. Routers with faster links read the store for others.").Default("0").Float64Var(&s.LinkMbps)
 	process.AddFlag(app, "cpu-share", "Share of a core that this VM has; 0 if unknown.").Default("0").Float64Var(&s.CPUShare)
 	process.AddFlag(app, "grace", "Maximum time from SIGTERM until the process ends.").Default("8s").DurationVar(&s.ShutdownGrace)
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -44,8 +44,11 @@
 		// so the connection serves no further request.
 		w.Header().Set("Connection", "close")
 	}
-	if r.admit(q) {
-		r.forward(q)
+	if r.beginUnfinished(q) {
+		defer r.limiter.End(in.Context())
+		if r.admit(q) {
+			r.forward(q)
+		}
 	}
 	if !q.ended {
 		// If the handler returned, net/http would end the response as complete, and a caller that has only closed its
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -53,8 +53,11 @@
 	return socketBytes
 }
 
-// reportMemory updates the metrics of the budget.
+// reportMemory updates the metrics of the budget and of the connections.
 func (r *Router) reportMemory() {
+	open, unfinished := r.limiter.Counts()
+	r.counters.scope.Gauge("caller_connections").Update(float64(open))
+	r.counters.scope.Gauge("unfinished_requests").Update(float64(unfinished))
 	if r.memory == nil {
 		return
 	}
@@ -92,6 +95,7 @@
 		expected = maxBytes
 	}
 	if q.in.Body == http.NoBody {
+		r.limiter.Received(q.in.Context())
 		return true
 	}
 	control := http.NewResponseController(q.w)
@@ -110,6 +114,7 @@
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	q.bodyRead = true
+	r.limiter.Received(q.in.Context())
 	return true
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/bodies"
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/connlimit"
 	"github.com/hyssoptiller/hyssoptiller/internal/crashrecords"
 	"github.com/hyssoptiller/hyssoptiller/internal/peerconn"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/routing"
@@ -43,7 +44,9 @@
 	// headerTimeout bounds the time to receive a request header.
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
-	sweepInterval  = time.Second
+	// shortTimeout bounds each request of the readiness check and for the metrics, and its response.
+	shortTimeout  = 10 * time.Second
+	sweepInterval = time.Second
 	// baseGrace bounds the shutdown of the services under the base supervisor.
 	baseGrace = time.Second
 )
@@ -72,7 +75,8 @@
 	counters        *Counters
 	metrics         *process.Metrics
 	store           *platform.StoreClient
-	memory          *bodies.Memory // Nil without a limit.
+	memory          *bodies.Memory     // Nil without a limit.
+	limiter         *connlimit.Limiter // Of the connections of callers.
 
 	inFlight atomic.Int64
 	draining atomic.Bool
@@ -88,6 +92,7 @@
 		store: platform.NewStoreClient(s.StoreAddress),
 	}
 	r.memory = newMemory(s, r.counters.scope)
+	r.limiter = newLimiter(s.callerLimits(), "callers", r.counters.scope)
 	r.pool.SocketBytes = s.socketBuffers()
 	r.pool.OnDial = func() { r.counters.connections.Inc(1) }
 	transport := r.newTransport("schedulers", grantResponseDelay)
@@ -159,10 +164,14 @@
 		}
 		listeners = append(listeners, l)
 	}
+	ready, admin, callers := r.plainServer(http.HandlerFunc(r.serveReady)), r.plainServer(r.metrics.Handler), r.callersServer()
+	listeners[0] = r.limiter.Listen(listeners[0])
+	listeners[1] = r.limitConnections(ready, listeners[1], "ready")
+	listeners[3] = r.limitConnections(admin, listeners[3], "admin")
 	base := process.NewSupervisor("base", r.log, baseGrace)
-	base.Add(&process.HTTPServer{Name: "ready", Server: r.plainServer(http.HandlerFunc(r.serveReady)), Listener: listeners[1]})
+	base.Add(&process.HTTPServer{Name: "ready", Server: ready, Listener: listeners[1]})
 	base.Add(&process.HTTPServer{Name: "peers", Server: peerconn.NewServer(r.peersHandler()), Listener: listeners[2]})
-	base.Add(&process.HTTPServer{Name: "admin", Server: r.plainServer(r.metrics.Handler), Listener: listeners[3]})
+	base.Add(&process.HTTPServer{Name: "admin", Server: admin, Listener: listeners[3]})
 	for _, follower := range r.followers() {
 		base.Add(follower)
 	}
@@ -191,7 +200,7 @@
 		}
 		return err
 	}})
-	front.Add(&process.HTTPServer{Name: "callers", Server: r.callersServer(), Listener: listeners[0], Grace: frontGrace})
+	front.Add(&process.HTTPServer{Name: "callers", Server: callers, Listener: listeners[0], Grace: frontGrace})
 	return process.NewStages(base, front).Serve(ctx, func() { r.drain(deregister) })
 }
 
@@ -311,13 +320,17 @@
 
 // plainServer returns an HTTP/1.1 server with the router's timeouts.
 func (r *Router) plainServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: r.errorLog()}
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadTimeout: shortTimeout, WriteTimeout: shortTimeout, ErrorLog: r.errorLog(),
+	}
 }
 
 // callersServer returns the server for callers' requests.
 func (r *Router) callersServer() *http.Server {
 	s := r.plainServer(r)
-	s.MaxHeaderBytes = maxHeaderBytes
+	s.ReadTimeout, s.WriteTimeout = 0, 0 // Bodies and streams have their own bounds.
+	r.limiter.Attach(s)
 	return s
 }
 
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -17,6 +17,7 @@
 	StoreAddress       string        // Address of the key-value store.
 	SchedulerPort      int           // Port of the schedulers on the engines' VMs.
 	MemoryMB           int           // Memory of the VM; 0 sets no limit.
+	MaxFDs             int           // File descriptors of the VM; 0 sets no limit.
 	LinkMbps           float64       // Rate of the VM's link; 0 if unknown.
 	CPUShare           float64       // Share of a core that the VM has; 0 if unknown.
 	ShutdownGrace      time.Duration // Time from SIGTERM to the exit of the process.
@@ -38,6 +39,7 @@
 	c.RequireAddress("store", s.StoreAddress)
 	c.RequireAtLeast("scheduler-port", int64(s.SchedulerPort), 1)
 	c.RequireAtLeast("memory-mb", int64(s.MemoryMB), 0)
+	c.RequireAtLeast("max-fds", int64(s.MaxFDs), 0)
 	c.RequireNotNegative("link-mbps", s.LinkMbps)
 	c.RequireNotNegative("cpu-share", s.CPUShare)
 	c.RequirePositive("grace", s.ShutdownGrace)
