Peers and schedulers: bounds on bodies, windows and header sections

Cause: a call between processes whose body stops held its stream for ever, a header section in CONTINUATION frames could have 1 MB, and a client could leave 1 MB unread a connection. Change: bodies of HTTP/2 calls have 5 s, header sections 16 KB, windows 64 KB a stream and 256 KB a connection; the metrics of schedulers have time limits.

--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -43,6 +43,14 @@
 	maxShareWait = 50 * time.Millisecond
 	// maxStreams bounds the calls that one client can have open at a server.
 	maxStreams = 2000
+	// maxHeaderBytes bounds the header section of a call, with its CONTINUATION frames. Those of the calls take less than 1 KB.
+	maxHeaderBytes = 16 << 10
+	// streamWindow and connectionWindow bound what a client may send of bodies that are not read. Most bodies take less
+	// than 5 KB.
+	streamWindow     = 64 << 10
+	connectionWindow = 256 << 10
+	// bodyTimeout bounds the time to receive the body of a call, which a client sends at once.
+	bodyTimeout = 5 * time.Second
 )
 
 // ErrSilent means that a connection was closed because it was silent for good.
@@ -98,16 +106,22 @@
 // NewServer returns a server for the calls of Transports. It accepts HTTP/1.1 and HTTP/2 without TLS.
 func NewServer(h http.Handler) *http.Server {
 	s := &http.Server{
-		Handler: handler{h}, ReadHeaderTimeout: 5 * time.Second, Protocols: new(http.Protocols),
-		HTTP2: &http.HTTP2Config{SendPingTimeout: idleBeforePing, PingTimeout: pingTimeout, MaxConcurrentStreams: maxStreams},
+		Handler: handler{h, bodyTimeout}, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: maxHeaderBytes, Protocols: new(http.Protocols),
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: idleBeforePing, PingTimeout: pingTimeout, MaxConcurrentStreams: maxStreams,
+			MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: connectionWindow,
+		},
 	}
 	s.Protocols.SetHTTP1(true)
 	s.Protocols.SetUnencryptedHTTP2(true)
 	return s
 }
 
-// handler answers probes itself.
-type handler struct{ next http.Handler }
+// handler answers probes itself and bounds the time to receive bodies.
+type handler struct {
+	next        http.Handler
+	bodyTimeout time.Duration
+}
 
 // ServeHTTP implements http.Handler.
 func (h handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -115,6 +129,9 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
+	if r.ProtoMajor == 2 && r.Body != http.NoBody { // With HTTP/1.1, the end of the deadline would end the call.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.bodyTimeout))
+	}
 	h.next.ServeHTTP(w, r)
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -28,6 +28,9 @@
 	// serverGrace is short because a granted request continues on the engine after its
 	// scheduler has stopped.
 	serverGrace = 100 * time.Millisecond
+	// adminTimeout and adminHeaderBytes bound each request for the metrics.
+	adminTimeout     = 10 * time.Second
+	adminHeaderBytes = 16 << 10
 )
 
 // Settings configures a scheduler.
@@ -113,7 +116,10 @@
 		Name: "turns", Server: peerconn.NewServer(s.engine.Handler()), Listener: grantListener, Grace: serverGrace,
 	})
 	supervisor.Add(&process.HTTPServer{
-		Name: "admin", Server: &http.Server{Handler: s.metrics.Handler, ReadHeaderTimeout: time.Second},
+		Name: "admin", Server: &http.Server{
+			Handler: s.metrics.Handler, ReadHeaderTimeout: time.Second, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout,
+			MaxHeaderBytes: adminHeaderBytes,
+		},
 		Listener: adminListener, Grace: serverGrace,
 	})
 	supervisor.Add(catalogApplier{s})
