Entry: bodies within a memory budget, bounds on connections

Cause: the crowds that exhausted the router exhaust an entry as well (178 MB on a VM of 96 MB, 718 descriptors of 400). Bodies are read in pieces and reserve the copies that are made of them; without room a request is refused with 503 (no_memory, ran: no). Connections and unfinished requests are bounded as in the router; the limits that a VM's size gives moved to the shared packages.

--- a/cmd/hyssop-entry/main.go
+++ b/cmd/hyssop-entry/main.go
@@ -11,6 +11,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/clients/vmlist"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
+	"github.com/hyssoptiller/hyssoptiller/internal/sockopt"
 )
 
 func main() {
@@ -35,6 +36,8 @@
 	process.AddFlag(app, "store", "Address (host:port) of the key-value service.").Default("127.0.0.1:8500").StringVar(&s.StoreAddress)
 	process.AddFlag(app, "vm-list", "URL of the platform's VM list.").Default("http://127.0.0.1:8501/vms").StringVar(&s.VMListURL)
 	process.AddSecurityFlags(app, &s.Security)
+	process.AddFlag(app, "memory-mb", "Memory of this VM in MB; 0 sets no memory limit.").Default("0").IntVar(&s.MemoryMB)
+	process.AddFlag(app, "max-fds", "File descriptors of this VM; 0 sets no limit for the connections of callers.").Default("0").IntVar(&s.MaxFDs)
 	process.AddFlag(app, "max-body-bytes", "Maximum size of a request body in bytes.").Default("4194304").Int64Var(&s.MaxBodyBytes)
 	process.AddFlag(app, "request-timeout", "Maximum time for one request.").Default("5m").DurationVar(&s.RequestTimeout)
 	process.AddFlag(app, "body-timeout", "Maximum time for a caller to send the body of a request.").Default("30s").DurationVar(&s.BodyTimeout)
@@ -48,9 +51,12 @@
 }
 
 func run(s entry.Settings, log *logrus.Entry) error {
+	if s.MemoryMB > 0 {
+		process.LimitMemory(s.MemoryMB)
+	}
 	listeners := make([]net.Listener, 0, 4)
 	for _, address := range []string{s.CallersAddress, s.OperatorsAddress, s.FleetAddress, s.AdminAddress} {
-		l, err := process.Listen(address)
+		l, err := process.ListenBuffered(address, sockopt.BytesOfVM(s.MemoryMB))
 		if err != nil {
 			return err
 		}
--- a/internal/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/memorybudget"
 )
@@ -54,6 +55,28 @@
 	return &Memory{budget: memorybudget.New(l), owners: make(map[*memorybudget.Holder]*Account)}
 }
 
+// memoryShare is the part of a VM's memory that bodies and responses may hold. A router takes 25 MB besides, and the garbage
+// collector needs room for what it has not collected yet.
+const memoryShare = 0.25
+
+// NewMemoryOfVM returns the budget of a process on a VM with mb MB of memory, and counts in scope who gets no room and who
+// yields. It returns nil, which sets no limit, if mb is 0. A holder of at most smallBytes counts as small.
+func NewMemoryOfVM(mb int, smallBytes int64, scope tally.Scope) *Memory {
+	if mb == 0 {
+		return nil
+	}
+	l := memorybudget.DefaultLimits(int64(memoryShare * float64(mb) * (1 << 20)))
+	l.SmallBytes = smallBytes
+	m := NewMemory(l)
+	count := func(name string) func(memorybudget.Kind) {
+		return func(k memorybudget.Kind) {
+			scope.Tagged(map[string]string{"kind": memorybudget.Names[k]}).Counter(name).Inc(1)
+		}
+	}
+	m.OnRefused, m.OnYield = count("memory_refused_total"), count("memory_yielded_total")
+	return m
+}
+
 // Held returns the bytes held of a kind.
 func (m *Memory) Held(k memorybudget.Kind) int64 {
 	m.mu.Lock()
@@ -297,6 +320,24 @@
 	}
 }
 
+// Join returns the body as one slice, and returns its pieces. It reserves copies times its length, for the slice and what is made
+// of it, until the last user calls Release.
+func (b *Body) Join(ctx context.Context, copies int) ([]byte, error) {
+	if err := b.account.Reserve(ctx, copies*b.size); err != nil {
+		return nil, err
+	}
+	data := make([]byte, 0, b.size)
+	held := 0
+	for _, piece := range b.filled {
+		data = append(data, piece...)
+		held += cap(piece)
+		putPiece(piece)
+	}
+	b.filled = nil
+	b.account.Release(held)
+	return data, nil
+}
+
 // addPiece adds an empty piece.
 func (b *Body) addPiece(ctx context.Context) ([]byte, error) {
 	size := pieceBytes
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -9,21 +9,21 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/connections"
 )
 
 // Limiter bounds the connections of one listener. It is safe for concurrent use.
 type Limiter struct {
-	// OnClose is called with the reason for each connection that is closed or refused, and each request that is refused. It may
-	// be nil.
-	OnClose func(reason string)
+	closed func(reason string)
 
 	mu    sync.Mutex
 	table *connections.Table
 	conns map[*connections.Conn]*conn
 }
 
-// Reasons that OnClose receives.
+// Reasons of the metric connections_closed_total.
 const (
 	ReasonNoProgress = "no_progress" // Closed for a new connection.
 	ReasonStalled    = "stalled"     // Closed for another request.
@@ -31,9 +31,15 @@
 	ReasonUnfinished = "unfinished"  // A request beyond the unfinished ones.
 )
 
-// New returns a Limiter.
-func New(l connections.Limits) *Limiter {
-	return &Limiter{table: connections.NewTable(l), conns: make(map[*connections.Conn]*conn)}
+// New returns a Limiter. It counts in scope, by listener and reason, the connections that are closed or refused and the requests that
+// are refused.
+func New(l connections.Limits, listener string, scope tally.Scope) *Limiter {
+	return &Limiter{
+		table: connections.NewTable(l), conns: make(map[*connections.Conn]*conn),
+		closed: func(reason string) {
+			scope.Tagged(map[string]string{"listener": listener, "reason": reason}).Counter("connections_closed_total").Inc(1)
+		},
+	}
 }
 
 // Counts returns the number of connections and of unfinished requests.
@@ -81,7 +87,7 @@
 	evict, ok := l.table.Begin(own.entry, time.Now())
 	l.close(evict, ReasonStalled)
 	if !ok {
-		l.count(ReasonUnfinished)
+		l.closed(ReasonUnfinished)
 	}
 	return ok
 }
@@ -110,13 +116,7 @@
 	c := l.conns[entry]
 	delete(l.conns, entry)
 	_ = c.TCPConn.Close() // The server notices it by its next read or write.
-	l.count(reason)
-}
-
-func (l *Limiter) count(reason string) {
-	if l.OnClose != nil {
-		l.OnClose(reason)
-	}
+	l.closed(reason)
 }
 
 type listener struct {
@@ -152,7 +152,7 @@
 	entry, evict := l.table.Add(address, time.Now())
 	l.close(evict, ReasonNoProgress)
 	if entry == nil {
-		l.count(ReasonRefused)
+		l.closed(ReasonRefused)
 		return nil
 	}
 	c := &conn{TCPConn: tcp, limiter: l, entry: entry}
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/connections"
 )
 
@@ -18,9 +20,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	limiter := New(connections.Limits{Connections: 2, Unfinished: 1})
+	limiter := New(connections.Limits{Connections: 2, Unfinished: 1}, "test", tally.NoopScope)
 	closed := make(chan string, 1)
-	limiter.OnClose = func(reason string) { closed <- reason }
+	limiter.closed = func(reason string) { closed <- reason }
 	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if limiter.Begin(r.Context()) {
 			defer limiter.End(r.Context())
--- a/internal/entry/callers/callers.go
+++ b/internal/entry/callers/callers.go
@@ -15,6 +15,8 @@
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/bodies"
+	"github.com/hyssoptiller/hyssoptiller/internal/connlimit"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/admission"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/inflight"
@@ -42,7 +44,7 @@
 	Dispatch(ctx context.Context, req dispatch.Request, w http.ResponseWriter) dispatch.Result
 }
 
-// Options configures NewHandler. All fields are required.
+// Options configures NewHandler. All fields but Memory and Connections are required.
 type Options struct {
 	Config       func() *config.Snapshot // Returns the configuration in force.
 	Freshness    Freshness
@@ -51,10 +53,12 @@
 	Running      *inflight.Index
 	Timeline     *timeline.Ring
 	Metrics      tally.Scope
-	MaxBodyBytes int64         // Maximum size of a request body.
-	Timeout      time.Duration // Maximum time from admission to the end of the response.
-	BodyTimeout  time.Duration // Maximum time to receive a request body.
-	WriteTimeout time.Duration // Maximum time to send one written part of a response.
+	MaxBodyBytes int64              // Maximum size of a request body.
+	Memory       *bodies.Memory     // Bounds the bodies that are held; nil sets no limit.
+	Connections  *connlimit.Limiter // Bounds the unfinished requests; nil sets no limit.
+	Timeout      time.Duration      // Maximum time from admission to the end of the response.
+	BodyTimeout  time.Duration      // Maximum time to receive a request body.
+	WriteTimeout time.Duration      // Maximum time to send one written part of a response.
 }
 
 // handler implements the routes of NewHandler.
@@ -67,6 +71,7 @@
 func NewHandler(opts Options) http.Handler {
 	h := &handler{opts: opts, metrics: newMetrics(opts.Metrics)}
 	router := chi.NewRouter()
+	router.Use(h.limitUnfinished)
 	router.Post("/v1/chat/completions", h.serveCompletion)
 	router.Post("/v1/completions", h.serveCompletion)
 	router.Get("/v1/models", h.serveModels)
@@ -77,6 +82,20 @@
 	return router
 }
 
+// limitUnfinished refuses requests beyond the limit of unfinished ones.
+func (h *handler) limitUnfinished(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !h.opts.Connections.Begin(r.Context()) {
+			c := h.newCall(w, r)
+			c.endReading()
+			h.refuse(c, noMemory())
+			return
+		}
+		defer h.opts.Connections.End(r.Context())
+		next.ServeHTTP(w, r)
+	})
+}
+
 // call is the state of one caller's request in this package.
 type call struct {
 	id     ident.RequestID
@@ -85,6 +104,7 @@
 	config *config.Snapshot          // Configuration in force when the request arrived.
 	key    ident.KeyHash             // Hash of the authenticated key; empty on an open route.
 	limits config.OrganisationLimits // Organisation of the key; zero on an open route.
+	body   *bodies.Body              // Holds the memory of the body.
 }
 
 // newCall assigns the request id, sets it on the response and counts the request.
--- a/internal/entry/callers/completions.go
+++ b/internal/entry/callers/completions.go
@@ -43,7 +43,8 @@
 		h.refuse(c, refused)
 		return
 	}
-	body, refused := h.readRequest(c)
+	defer c.releaseBody()
+	body, refused := h.readRequest(c, completionCopies)
 	if refused != nil {
 		h.refuse(c, refused)
 		return
--- a/internal/entry/callers/refusals.go
+++ b/internal/entry/callers/refusals.go
@@ -12,6 +12,7 @@
 const (
 	staleRetryAfter            = 5 * time.Second
 	quotaUnavailableRetryAfter = time.Second
+	noMemoryRetryAfter         = time.Second
 )
 
 func badRequest(message string) *refusal.Refusal {
@@ -22,6 +23,10 @@
 	return refusal.Newf(refusal.CodeRequestTooLarge, refusal.RanNo, "the body is longer than %d bytes", limit)
 }
 
+func noMemory() *refusal.Refusal {
+	return refusal.New(refusal.CodeNoMemory, refusal.RanNo, "this entry has no memory for the request now").WithRetryAfter(noMemoryRetryAfter)
+}
+
 func missingKey() *refusal.Refusal {
 	return refusal.New(refusal.CodeMissingKey, refusal.RanNo,
 		"give the organisation's key in the header Authorization: Bearer KEY")
--- a/internal/entry/callers/services.go
+++ b/internal/entry/callers/services.go
@@ -27,7 +27,8 @@
 		h.refuse(c, refused)
 		return
 	}
-	body, refused := h.readRequest(c)
+	defer c.releaseBody()
+	body, refused := h.readRequest(c, serviceCopies)
 	if refused != nil {
 		h.refuse(c, refused)
 		return
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,8 +17,10 @@
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/bodies"
 	"github.com/hyssoptiller/hyssoptiller/internal/clients/store"
 	"github.com/hyssoptiller/hyssoptiller/internal/clients/vmlist"
+	"github.com/hyssoptiller/hyssoptiller/internal/connlimit"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/admission"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/callers"
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/dispatch"
@@ -65,6 +67,9 @@
 	front     *suture.Supervisor // The callers' listener; stops first.
 }
 
+// smallBytes is the most that a small body holds: 50 KB in pieces, and three copies that are made of it.
+const smallBytes = 256 << 10
+
 // New builds the entry's supervisor tree.
 func New(opts Options) (*Entry, error) {
 	s := opts.Settings
@@ -106,7 +111,10 @@
 	e.tree.Add(e.fleet.freshness)
 	e.tree.Add(e.fleet.gossip)
 	e.tree.Add(e.fleet.collector)
-	e.front.Add(process.NewHTTPServer("callers", e.opts.CallersListener, e.callersHandler(client), s.DrainTimeout))
+	limiter := connlimit.New(connlimit.LimitsOfVM(s.MemoryMB, s.MaxFDs), "callers", e.metrics.Scope)
+	server := process.NewHTTPServer("callers", limiter.Listen(e.opts.CallersListener), e.callersHandler(client, limiter), s.DrainTimeout)
+	limiter.Attach(server.Server)
+	e.front.Add(server)
 	e.tree.Add(process.NewHTTPServer("operators", e.opts.OperatorsListener, e.operatorsHandler(client), time.Second))
 	e.tree.Add(&process.HTTPServer{Name: "fleet", Server: fleetServer, Listener: e.opts.FleetListener, Grace: s.DrainTimeout})
 	admin := process.AdminHandler(e.ready.status, e.metrics)
@@ -114,7 +122,7 @@
 	return nil
 }
 
-func (e *Entry) callersHandler(client *transport.Client) http.Handler {
+func (e *Entry) callersHandler(client *transport.Client, limiter *connlimit.Limiter) http.Handler {
 	s := e.opts.Settings
 	dispatcher := dispatch.New(dispatch.Options{
 		Client: client,
@@ -136,6 +144,8 @@
 		Timeline:     e.ring,
 		Metrics:      e.metrics.Scope,
 		MaxBodyBytes: s.MaxBodyBytes,
+		Memory:       bodies.NewMemoryOfVM(s.MemoryMB, smallBytes, e.metrics.Scope),
+		Connections:  limiter,
 		Timeout:      s.RequestTimeout,
 		BodyTimeout:  s.BodyTimeout,
 		WriteTimeout: s.WriteTimeout,
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -22,6 +22,8 @@
 	StoreAddress     string // Address of the key-value service.
 	VMListURL        string // URL of the platform's VM list.
 	Security         transport.Security
+	MemoryMB         int // Memory of the VM in MB; 0 sets no limit.
+	MaxFDs           int // File descriptors of the VM; 0 sets no limit for the connections of callers.
 	MaxBodyBytes     int64
 	RequestTimeout   time.Duration // Maximum duration of one request.
 	BodyTimeout      time.Duration // Maximum duration of receiving a request's body.
@@ -52,6 +54,8 @@
 	c.RequireAddress("store", s.StoreAddress)
 	c.RequireURL("vm-list", s.VMListURL)
 	c.AddError("fleet-secret", s.Security.Validate())
+	c.RequireAtLeast("memory-mb", int64(s.MemoryMB), 0)
+	c.RequireAtLeast("max-fds", int64(s.MaxFDs), 0)
 	c.RequireAtLeast("max-body-bytes", s.MaxBodyBytes, 1)
 	c.RequirePositive("request-timeout", s.RequestTimeout)
 	c.RequirePositive("body-timeout", s.BodyTimeout)
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/bodies"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/memorybudget"
@@ -14,45 +13,18 @@
 )
 
 const (
-	// memoryShare is the part of the VM's memory that bodies and responses may hold. A router takes 25 MB besides, and
-	// the garbage collector needs room for what it has not collected yet.
-	memoryShare = 0.25
+	// smallBytes is the most that a small body or response holds. Ordinary ones have 1 to 50 KB.
+	smallBytes = 64 << 10
 	// writeTimeout bounds the time in which a caller reads writeBytes of a response.
 	writeTimeout = 10 * time.Second
 	writeBytes   = 16 << 10
 	// unreadBodyTimeout bounds the time to receive the rest of a body that is discarded, so that its sender gets the
 	// refusal and not a reset connection.
 	unreadBodyTimeout = time.Second
-	// socketBytes bounds the buffers of the sockets to callers and endpoints. With a round trip of 2 ms, as within a region,
-	// a connection carries 32 MB/s.
-	socketBytes = 64 << 10
 	// noRoomRetryAfter is the Retry-After of a request for which there is no memory.
 	noRoomRetryAfter = time.Second
 )
 
-// newMemory returns the budget of a router, or nil if the memory of the VM is not known.
-func newMemory(s Settings, scope tally.Scope) *bodies.Memory {
-	if s.MemoryMB == 0 {
-		return nil
-	}
-	m := bodies.NewMemory(memorybudget.DefaultLimits(int64(memoryShare * float64(s.MemoryMB) * (1 << 20))))
-	count := func(name string) func(memorybudget.Kind) {
-		return func(k memorybudget.Kind) {
-			scope.Tagged(map[string]string{"kind": memorybudget.Names[k]}).Counter(name).Inc(1)
-		}
-	}
-	m.OnRefused, m.OnYield = count("memory_refused_total"), count("memory_yielded_total")
-	return m
-}
-
-// socketBuffers returns the bound of the buffers of sockets, or 0 if the memory of the VM is not known.
-func (s Settings) socketBuffers() int {
-	if s.MemoryMB == 0 {
-		return 0
-	}
-	return socketBytes
-}
-
 // reportMemory updates the metrics of the budget and of the connections.
 func (r *Router) reportMemory() {
 	open, unfinished := r.limiter.Counts()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/quota"
 	"github.com/hyssoptiller/hyssoptiller/internal/relay"
 	"github.com/hyssoptiller/hyssoptiller/internal/sleep"
+	"github.com/hyssoptiller/hyssoptiller/internal/sockopt"
 	"github.com/hyssoptiller/hyssoptiller/internal/upstream"
 	"github.com/hyssoptiller/hyssoptiller/platform"
 )
@@ -91,9 +92,9 @@
 		counters: NewCounters(metrics.Scope.SubScope("router")), state: catalog.NewState(),
 		store: platform.NewStoreClient(s.StoreAddress),
 	}
-	r.memory = newMemory(s, r.counters.scope)
-	r.limiter = newLimiter(s.callerLimits(), "callers", r.counters.scope)
-	r.pool.SocketBytes = s.socketBuffers()
+	r.memory = bodies.NewMemoryOfVM(s.MemoryMB, smallBytes, r.counters.scope)
+	r.limiter = connlimit.New(connlimit.LimitsOfVM(s.MemoryMB, s.MaxFDs), "callers", r.counters.scope)
+	r.pool.SocketBytes = sockopt.BytesOfVM(s.MemoryMB)
 	r.pool.OnDial = func() { r.counters.connections.Inc(1) }
 	transport := r.newTransport("schedulers", grantResponseDelay)
 	r.schedulerConns = newSchedulerConns(s.SchedulerPort, transport, log)
@@ -158,7 +159,7 @@
 	for _, address := range []string{
 		r.settings.CallersAddress, r.settings.ReadyAddress, r.settings.PeersAddress, r.settings.AdminAddress,
 	} {
-		l, err := process.ListenBuffered(address, r.settings.socketBuffers())
+		l, err := process.ListenBuffered(address, sockopt.BytesOfVM(r.settings.MemoryMB))
 		if err != nil {
 			return err
 		}
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -15,3 +15,14 @@
 		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, bytes)
 	})
 }
+
+// vmBytes is the bound for a VM whose memory is known. With a round trip of 2 ms, as within a region, a connection carries 32 MB/s.
+const vmBytes = 64 << 10
+
+// BytesOfVM returns the bound of the buffers of sockets on a VM with mb MB of memory: 0, no bound, if mb is 0.
+func BytesOfVM(mb int) int {
+	if mb == 0 {
+		return 0
+	}
+	return vmBytes
+}
