--- a/internal/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -55,8 +55,8 @@
 	return &Memory{budget: memorybudget.New(l), owners: make(map[*memorybudget.Holder]*Account)}
 }
 
-// memoryShare is the part of a VM's memory that bodies and responses may hold. A router takes 25 MB besides, and the garbage
-// collector needs room for what it has not collected yet.
+// memoryShare is the part of a VM's memory that bodies and responses may hold. A router takes 33 to 49 MB besides
+// (docs/CAPACITY.md), and the garbage collector needs room for what it has not collected yet.
 const memoryShare = 0.25
 
 // NewMemoryOfVM returns the budget of a process on a VM with mb MB of memory, and counts in scope who gets no room and who
