--- a/internal/refusal/new.go
+++ b/internal/refusal/new.go
@@ -44,6 +44,7 @@
 	CodeStreamNotResumable:   {http.StatusServiceUnavailable, TypeUnavailable},
 	CodeEvacuated:            {http.StatusServiceUnavailable, TypeUnavailable},
 	CodeNoAllowedRegion:      {http.StatusServiceUnavailable, TypeUnavailable},
+	CodeNoMemory:             {http.StatusServiceUnavailable, TypeUnavailable},
 }
 
 // New returns a refusal with the status and type of its code. The message is one
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -81,6 +81,7 @@
 	CodeStreamNotResumable   Code = "stream_not_resumable"
 	CodeEvacuated            Code = "evacuated"
 	CodeNoAllowedRegion      Code = "no_allowed_region"
+	CodeNoMemory             Code = "no_memory"
 )
 
 // Refusal is the response to a request that has no result. It implements error, so
