--- a/cmd/hyssop-router/main.go
+++ b/cmd/hyssop-router/main.go
@@ -43,7 +43,6 @@
 	process.AddFlag(app, "config-bound", "Maximum time until a change of the configuration is in force.").Default("2s").DurationVar(&s.ConfigBound)
 	process.AddFlag(app, "evacuate-bound", "Maximum time until an evacuated failure domain gets no requests; 5s if empty or without a number.").SetValue(&s.EvacuateBound)
 	process.AddFlag(app, "regions", "Region of each failure domain, as a JSON object; empty if there are none.").SetValue(&s.Regions)
-	process.AddFlag(app, "rules", "Rules of the platform that are in force, separated by commas. With pressure, adapter slots and loads are kept for more urgent requests while they are short.").StringVar(&s.Rules)
 	process.AddFlag(app, "retry-ratio", "Retries per request that all routers together may make.").Default("0.2").Float64Var(&s.RetryRatio)
 	process.AddFlag(app, "retry-burst", "Retries in addition to the ratio that all routers together may make in a window.").Default("40").Float64Var(&s.RetryBurst)
 }
--- a/cmd/hyssop-scheduler/main.go
+++ b/cmd/hyssop-scheduler/main.go
@@ -25,7 +25,6 @@
 	process.AddFlag(app, "admin", "Listen address for the metrics page.").StringVar(&s.AdminAddress)
 	process.AddFlag(app, "store", "Address (host:port) of the platform's key-value store.").StringVar(&s.StoreAddress)
 	process.AddFlag(app, "memory-mb", "Memory of this VM in MB; 0 sets no memory limit.").Default("0").IntVar(&s.MemoryMB)
-	process.AddFlag(app, "rules", "Rules of the platform that are in force, separated by commas. With pressure, adapter slots are kept for more urgent requests while they are short.").StringVar(&s.Rules)
 	// Parse fills s from the flags before it calls the check.
 	level := process.Parse(app, func() error { return s.Check() })
 	o := process.Options{Name: app.Name, VM: s.VM, MemoryMB: s.MemoryMB, Level: level}
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -157,17 +157,6 @@
 	return nil
 }
 
-// RoutesOf returns the routes whose requests may go to a service.
-func (c *Config) RoutesOf(service string) []*Route {
-	var out []*Route
-	for r := range c.allRoutes() {
-		if r.HasService(service) {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
 // NeedsKeys reports whether requests need an API key. Public routes never need one.
 func (c *Config) NeedsKeys() bool { return len(c.Organisations) > 0 }
 
--- a/internal/policy/grants/delta.go
+++ b/internal/policy/grants/delta.go
@@ -18,22 +18,19 @@
 // SnapshotDelta is the difference between two snapshots of an engine. The first one of a stream is the
 // difference from the zero Snapshot. A nil field has not changed.
 type SnapshotDelta struct {
-	Alive              *bool               `json:"alive,omitempty"`
-	Draining           *bool               `json:"draining,omitempty"`
-	Incarnation        *int64              `json:"born,omitempty"`
-	Models             *[]string           `json:"models,omitempty"`
-	SetAdapters        []AdapterState      `json:"set,omitempty"`    // New or changed adapters.
-	RemovedAdapters    []AdapterState      `json:"remove,omitempty"` // Adapters that the engine no longer holds.
-	IdleAdapterSlots   *int                `json:"idle,omitempty"`
-	ReservedSlots      *int                `json:"reserved,omitempty"`
-	ReservedFor        *int                `json:"reservedFor,omitempty"`
-	ReservedSlotWaitMS *float64            `json:"reservedMs,omitempty"`
-	LoadingAdapters    *int                `json:"coming,omitempty"`
-	PrefillWaitMS      *[NumPriorities]int `json:"waitMs,omitempty"`
-	RateWaitMS         *int                `json:"rateMs,omitempty"`
-	Slowdown           *float64            `json:"slowness,omitempty"`
-	LateEventRate      *float64            `json:"slow,omitempty"`
-	AdapterSlotWaitMS  *float64            `json:"placeMs,omitempty"`
+	Alive             *bool               `json:"alive,omitempty"`
+	Draining          *bool               `json:"draining,omitempty"`
+	Incarnation       *int64              `json:"born,omitempty"`
+	Models            *[]string           `json:"models,omitempty"`
+	SetAdapters       []AdapterState      `json:"set,omitempty"`    // New or changed adapters.
+	RemovedAdapters   []AdapterState      `json:"remove,omitempty"` // Adapters that the engine no longer holds.
+	IdleAdapterSlots  *int                `json:"idle,omitempty"`
+	LoadingAdapters   *int                `json:"coming,omitempty"`
+	PrefillWaitMS     *[NumPriorities]int `json:"waitMs,omitempty"`
+	RateWaitMS        *int                `json:"rateMs,omitempty"`
+	Slowdown          *float64            `json:"slowness,omitempty"`
+	LateEventRate     *float64            `json:"slow,omitempty"`
+	AdapterSlotWaitMS *float64            `json:"placeMs,omitempty"`
 }
 
 // Rounded returns the snapshot with its rates and the wait for an adapter slot rounded to what a router
@@ -46,7 +43,6 @@
 	s.Slowdown = round(s.Slowdown, slowdownResolution)
 	s.LateEventRate = round(s.LateEventRate, lateEventRateResolution)
 	s.AdapterSlotWaitMS = math.Round(s.AdapterSlotWaitMS)
-	s.ReservedSlotWaitMS = math.Round(s.ReservedSlotWaitMS)
 	return s
 }
 
@@ -56,10 +52,8 @@
 		Alive: changed(former.Alive, s.Alive), Draining: changed(former.Draining, s.Draining),
 		Incarnation:      changed(former.Incarnation, s.Incarnation),
 		IdleAdapterSlots: changed(former.IdleAdapterSlots, s.IdleAdapterSlots),
-		ReservedSlots:    changed(former.ReservedSlots, s.ReservedSlots), ReservedFor: changed(former.ReservedFor, s.ReservedFor),
-		ReservedSlotWaitMS: changed(former.ReservedSlotWaitMS, s.ReservedSlotWaitMS),
-		LoadingAdapters:    changed(former.LoadingAdapters, s.LoadingAdapters),
-		PrefillWaitMS:      changed(former.PrefillWaitMS, s.PrefillWaitMS), RateWaitMS: changed(former.RateWaitMS, s.RateWaitMS),
+		LoadingAdapters:  changed(former.LoadingAdapters, s.LoadingAdapters),
+		PrefillWaitMS:    changed(former.PrefillWaitMS, s.PrefillWaitMS), RateWaitMS: changed(former.RateWaitMS, s.RateWaitMS),
 		Slowdown: changed(former.Slowdown, s.Slowdown), LateEventRate: changed(former.LateEventRate, s.LateEventRate),
 		AdapterSlotWaitMS: changed(former.AdapterSlotWaitMS, s.AdapterSlotWaitMS),
 	}
@@ -88,9 +82,6 @@
 	apply(&s.Incarnation, d.Incarnation)
 	apply(&s.Models, d.Models)
 	apply(&s.IdleAdapterSlots, d.IdleAdapterSlots)
-	apply(&s.ReservedSlots, d.ReservedSlots)
-	apply(&s.ReservedFor, d.ReservedFor)
-	apply(&s.ReservedSlotWaitMS, d.ReservedSlotWaitMS)
 	apply(&s.LoadingAdapters, d.LoadingAdapters)
 	apply(&s.PrefillWaitMS, d.PrefillWaitMS)
 	apply(&s.RateWaitMS, d.RateWaitMS)
@@ -135,7 +126,7 @@
 		}
 	}
 	return d.Alive != nil || d.Draining != nil || d.Incarnation != nil || d.Models != nil || len(d.RemovedAdapters) > 0 ||
-		d.IdleAdapterSlots != nil || d.ReservedSlots != nil || d.ReservedFor != nil || d.LoadingAdapters != nil || d.Slowdown != nil || d.LateEventRate != nil
+		d.IdleAdapterSlots != nil || d.LoadingAdapters != nil || d.Slowdown != nil || d.LateEventRate != nil
 }
 
 // findAdapterState returns the index of an adapter in a list, or -1.
--- a/internal/policy/grants/machine.go
+++ b/internal/policy/grants/machine.go
@@ -73,9 +73,7 @@
 	prompts          *promptCache
 	prefills         prefillBacklog
 	lateEvents       lateEvents
-	prefilling       bool // A large prefill was pending at the last report.
 	demands          demands
-	slotReserve      slotReserve
 	rate             ratelimit.Limiter // Counts the grants of this incarnation.
 	coldRate         ratelimit.Limiter // The same, at the rate of a cold engine while the engine is cold.
 	cold             coldstart.Tracker
@@ -134,9 +132,6 @@
 		m.decisions = append(m.decisions, Decision{ID: r.ID, Refusal: refusal, ExpectedWait: expected})
 		return
 	}
-	if r.Key.Adapter != "" && m.adapters[r.Key] == nil {
-		m.slotReserve.record(r.Priority, now)
-	}
 	m.queue = append(m.queue, &queuedRequest{request: r, queuedAt: now, expectedWait: expected, prefillMS: prefillMS})
 	m.processQueue(now)
 }
@@ -279,7 +274,6 @@
 // recordProgress applies the reported event counts to the active grants.
 func (m *Machine) recordProgress(runs []Run, now time.Time) {
 	m.prefills.advance(now)
-	prefilling := m.prefilling || m.hasLargePrefill(now)
 	eventCounts := make(map[string]int, len(runs))
 	for _, r := range runs {
 		eventCounts[r.RequestID] = r.Events
@@ -291,9 +285,8 @@
 			continue
 		}
 		m.prefills.complete(&g.prefill, now)
-		m.lateEvents.observe(&g.progress, events, g.request.GapTarget, prefilling, now)
+		m.lateEvents.observe(&g.progress, events, g.request.GapTarget, now)
 	}
-	m.prefilling = m.hasLargePrefill(now)
 }
 
 // HasPrefillBacklog reports whether prefills are pending or requests are queued.
@@ -313,10 +306,10 @@
 	m.unknownLoads = append(m.unknownLoads, unknownLoad{o.Sequence, now})
 }
 
-// lateLoadSlots returns how many adapter slots are kept free for loads of former incarnations. After a restart the engine
+// reservedSlots returns how many adapter slots are kept free for loads of former incarnations. After a restart the engine
 // starts to count its orders again, and carries such a load out when it reaches the load's sequence. That raises the sequence, so
 // that the machine's next order is rejected and a report shows the load. One slot stays in use at least.
-func (m *Machine) lateLoadSlots(now time.Time) int {
+func (m *Machine) reservedSlots(now time.Time) int {
 	m.lateLoads = slices.DeleteFunc(m.lateLoads, func(l unknownLoad) bool {
 		return l.sequence < m.sequence || now.Sub(l.at) > m.config.LateOrderPeriod
 	})
@@ -482,25 +475,13 @@
 	if len(m.grants) == 0 {
 		return true
 	}
-	if millis.Duration(q.prefillMS) > m.config.ShortPrefill && m.prefillsHold(now) {
+	if millis.Duration(q.prefillMS) > m.config.ShortPrefill && millis.Duration(m.prefills.backlogMS()) > m.config.MaxPrefillBacklog {
 		return false
 	}
 	maxTokens := int(maxGrantedKVShare * float64(m.limits.KVTokens))
 	return len(m.grants) < m.limits.Slots && m.grantedTokens+r.PromptTokens+r.MaxOutputTokens <= maxTokens
 }
 
-// prefillsHold reports whether a large prefill waits for those that are pending. Where the gaps of running streams come
-// close to their targets, it waits until the last large one has ended, so that the engine produces a few tokens for the
-// streams in between.
-func (m *Machine) prefillsHold(now time.Time) bool {
-	return millis.Duration(m.prefills.backlogMS()) > m.config.MaxPrefillBacklog || m.lateEvents.pressure.spaced(now) && m.hasLargePrefill(now)
-}
-
-// hasLargePrefill reports whether the prefill of a large prompt is pending.
-func (m *Machine) hasLargePrefill(now time.Time) bool {
-	return m.prefills.hasLarge(millis.FromDuration(m.config.ShortPrefill), now)
-}
-
 // usable reports whether requests for an adapter may be granted now.
 func (m *Machine) usable(key catalog.AdapterKey, now time.Time) bool {
 	if !slices.Contains(m.models, key.Model) {
@@ -548,7 +529,7 @@
 		return m.meanRunTime, RefusalVersionReplaced
 	}
 	if !m.usable(r.Key, now) {
-		wait = max(wait, m.expectedLoadTime(r)+m.adapterSlotWait(r.Key, r.Priority, m.reservedSlotsFor(r, now))+max(m.pausedUntil.Sub(now), 0))
+		wait = max(wait, m.expectedLoadTime(r)+m.adapterSlotWait(r.Key)+max(m.pausedUntil.Sub(now), 0))
 	}
 	rateWait, refusal := m.rateWait(len(m.queue), now)
 	switch accepted := m.acceptedWait(r, prefillMS); {
@@ -590,15 +571,15 @@
 	return m.config.WarmLoadTime
 }
 
-// adapterSlotWait returns the expected wait for an adapter slot of a request of a priority that leaves reserved ones
-// idle. It is zero if enough slots are idle, and otherwise the time in which finishing runs free the
+// adapterSlotWait returns the expected wait for an adapter slot. It is zero if
+// enough slots are idle, and otherwise the time in which finishing runs free the
 // missing ones.
-func (m *Machine) adapterSlotWait(key catalog.AdapterKey, priority, reserved int) time.Duration {
+func (m *Machine) adapterSlotWait(key catalog.AdapterKey) time.Duration {
 	if key.Adapter == "" || m.adapters[key] != nil {
 		return 0
 	}
-	awaited := m.awaitedAdapters(priority)
-	idle := m.idleAdapterSlots() - reserved
+	awaited := m.awaitedAdapters()
+	idle := m.idleAdapterSlots()
 	if awaited < idle {
 		return 0
 	}
@@ -606,14 +587,11 @@
 	return time.Duration(float64(m.meanRunTime) * float64(awaited-idle+1) / float64(slots) * 2)
 }
 
-// awaitedAdapters counts the adapters that queued requests of a priority or a more urgent one need and that are
-// neither resident nor ordered. The loads for others come later.
-func (m *Machine) awaitedAdapters(priority int) int {
+// awaitedAdapters counts the adapters that queued requests need and that are
+// neither resident nor ordered.
+func (m *Machine) awaitedAdapters() int {
 	var keys []catalog.AdapterKey
 	for _, q := range m.queue {
-		if m.config.KeepUrgentSlots && q.request.Priority > priority {
-			continue
-		}
 		if m.adapters[q.request.Key] == nil && !slices.Contains(keys, q.request.Key) {
 			keys = append(keys, q.request.Key)
 		}
@@ -644,19 +622,14 @@
 // Snapshot returns the state of the engine for routers.
 func (m *Machine) Snapshot(now time.Time) Snapshot {
 	m.prefills.advance(now)
-	urgent := m.slotReserve.mostUrgent(now)
-	noAdapter := catalog.AdapterKey{Adapter: "\x00"} // It has no slot.
 	s := Snapshot{
 		Alive: m.alive, Draining: m.draining, Incarnation: m.incarnation, Models: slices.Clone(m.models),
-		IdleAdapterSlots: max(0, m.idleAdapterSlots()-m.awaitedAdapters(urgent)),
+		IdleAdapterSlots: max(0, m.idleAdapterSlots()-m.awaitedAdapters()),
 		Slowdown:         m.prefills.slowdown, LateEventRate: m.lateEvents.currentRate(now),
-		AdapterSlotWaitMS: millis.FromDuration(m.adapterSlotWait(noAdapter, urgent, 0)),
+		// The key matches no adapter, so the wait is that of an adapter without a slot.
+		AdapterSlotWaitMS: millis.FromDuration(m.adapterSlotWait(catalog.AdapterKey{Adapter: "\x00"})),
 		LoadingAdapters:   m.loadingAdapters(),
 	}
-	if reserved := m.reservedSlotsFor(Request{Priority: NumPriorities}, now); reserved > 0 {
-		s.ReservedFor, s.ReservedSlots = urgent, reserved
-		s.ReservedSlotWaitMS = millis.FromDuration(m.adapterSlotWait(noAdapter, NumPriorities, reserved))
-	}
 	rateWait, _ := m.rateWait(len(m.queue), now)
 	s.RateWaitMS = int(rateWait.Milliseconds())
 	for priority := range s.PrefillWaitMS {
--- a/internal/policy/grants/orders.go
+++ b/internal/policy/grants/orders.go
@@ -154,16 +154,11 @@
 	if m.loadingAdapters() >= m.config.MaxLoadingAdapters {
 		return Order{}, false
 	}
-	blocked := false
 	for _, q := range m.queue {
 		key := q.request.Key
 		if key.Adapter == "" || m.adapters[key] != nil || !slices.Contains(m.models, key.Model) {
 			continue
 		}
-		if m.idleAdapterSlots()-m.lateLoadSlots(now) <= m.reservedSlotsFor(q.request, now) && m.reservedSlotsFor(q.request, now) > 0 {
-			blocked = true // The request waits until more slots are idle or no more urgent ones come.
-			continue
-		}
 		if m.adapterFits(now) {
 			return Order{Key: key, Version: m.announced[key]}, true
 		}
@@ -172,9 +167,6 @@
 		}
 		return Order{}, false
 	}
-	if blocked {
-		return Order{}, false
-	}
 	if o, ok := m.reloadOrder(now); ok {
 		return o, true
 	}
@@ -199,7 +191,7 @@
 // adapterFits reports whether an adapter slot is free and the weights memory
 // holds one more adapter.
 func (m *Machine) adapterFits(now time.Time) bool {
-	if len(m.adapters)+m.lateLoadSlots(now) >= m.limits.AdapterSlots {
+	if len(m.adapters)+m.reservedSlots(now) >= m.limits.AdapterSlots {
 		return false
 	}
 	freeMB, adapterMB := m.limits.WeightsMB, 0.0
--- a/internal/policy/grants/prefill.go
+++ b/internal/policy/grants/prefill.go
@@ -24,10 +24,6 @@
 	maxSlowdown = 8.0
 	// minSampledPrefillMS is the shortest expected prefill that yields a sample.
 	minSampledPrefillMS = 60.0
-	// overdueFactor and overdueMargin bound the time for which a pending prefill keeps others waiting, as a multiple of
-	// its expected time and for the way of the request to the engine.
-	overdueFactor = 2.0
-	overdueMargin = 100 * time.Millisecond
 	// meanReportDelayMS is the mean delay of a report; reports arrive every 30 ms.
 	meanReportDelayMS = 15.0
 )
@@ -104,15 +100,6 @@
 	b.slowdown = initialSlowdown
 }
 
-// hasLarge reports whether a prefill of more than ms milliseconds at normal speed is pending. One that is long overdue
-// does not count: its router may never have sent the prompt.
-func (b *prefillBacklog) hasLarge(ms float64, now time.Time) bool {
-	return slices.ContainsFunc(b.pending, func(p *pendingPrefill) bool {
-		overdue := millis.Duration(overdueFactor*p.dueMS*b.slowdown) + overdueMargin
-		return p.fullMS > ms && now.Sub(p.addedAt) < overdue
-	})
-}
-
 // backlogMS returns the time that the engine needs for all pending prefills.
 func (b *prefillBacklog) backlogMS() float64 {
 	sum := 0.0
--- a/internal/policy/grants/types.go
+++ b/internal/policy/grants/types.go
@@ -141,7 +141,6 @@
 	MinModelLoadInterval time.Duration // Minimum time between two model loads.
 	ReloadWindow         time.Duration // An adapter used within this time is reloaded after its former version is unloaded.
 	MaxRecentlyUnloaded  int           // Unloaded adapters that the engine's host keeps cached.
-	KeepUrgentSlots      bool          // A part of the adapter slots is kept for more urgent requests.
 }
 
 // DefaultConfig returns the configuration for the engines of the platform.
@@ -181,35 +180,16 @@
 
 // Snapshot is the state of an engine that routers receive.
 type Snapshot struct {
-	Alive              bool               `json:"alive"`
-	Draining           bool               `json:"draining"` // The engine takes no new requests.
-	Incarnation        int64              `json:"born"`
-	Models             []string           `json:"models"`
-	Adapters           []AdapterState     `json:"adapters"`
-	IdleAdapterSlots   int                `json:"idle"`     // Adapter slots that are empty or hold an idle adapter.
-	ReservedSlots      int                `json:"reserved"` // Of these, slots that are kept for requests of ReservedFor or a more urgent priority.
-	ReservedFor        int                `json:"reservedFor"`
-	ReservedSlotWaitMS float64            `json:"reservedMs"` // Expected wait for an adapter slot of a request that leaves the reserved ones.
-	LoadingAdapters    int                `json:"coming"`     // Adapters that are loading.
-	PrefillWaitMS      [NumPriorities]int `json:"waitMs"`     // Expected wait by priority, for a resident adapter; at least RateWaitMS.
-	RateWaitMS         int                `json:"rateMs"`     // Expected wait because of the engine's rate limit or because it is cold; else 0.
-	Slowdown           float64            `json:"slowness"`   // Prefill time as a multiple of the time at normal speed.
-	LateEventRate      float64            `json:"slow"`       // Recent fraction of events whose gap exceeded the gap target, 0 to 1.
-	AdapterSlotWaitMS  float64            `json:"placeMs"`    // Expected wait for an adapter slot.
-}
-
-// SlotWaitFor returns the expected wait for an adapter slot of a request of a priority, if none is idle for it.
-func (s Snapshot) SlotWaitFor(priority int) float64 {
-	if priority <= s.ReservedFor {
-		return s.AdapterSlotWaitMS
-	}
-	return max(s.AdapterSlotWaitMS, s.ReservedSlotWaitMS)
-}
-
-// IdleSlotsFor returns the adapter slots that are idle for requests of a priority.
-func (s Snapshot) IdleSlotsFor(priority int) int {
-	if priority <= s.ReservedFor {
-		return s.IdleAdapterSlots
-	}
-	return max(s.IdleAdapterSlots-s.ReservedSlots, 0)
+	Alive             bool               `json:"alive"`
+	Draining          bool               `json:"draining"` // The engine takes no new requests.
+	Incarnation       int64              `json:"born"`
+	Models            []string           `json:"models"`
+	Adapters          []AdapterState     `json:"adapters"`
+	IdleAdapterSlots  int                `json:"idle"`     // Adapter slots that are empty or hold an idle adapter.
+	LoadingAdapters   int                `json:"coming"`   // Adapters that are loading.
+	PrefillWaitMS     [NumPriorities]int `json:"waitMs"`   // Expected wait by priority, for a resident adapter; at least RateWaitMS.
+	RateWaitMS        int                `json:"rateMs"`   // Expected wait because of the engine's rate limit or because it is cold; else 0.
+	Slowdown          float64            `json:"slowness"` // Prefill time as a multiple of the time at normal speed.
+	LateEventRate     float64            `json:"slow"`     // Recent fraction of events whose gap exceeded the gap target, 0 to 1.
+	AdapterSlotWaitMS float64            `json:"placeMs"`  // Expected wait for an adapter slot.
 }
--- a/internal/policy/routing/engines.go
+++ b/internal/policy/routing/engines.go
@@ -21,17 +21,14 @@
 	FullSpeedLoadsPerEngine float64       // Concurrent loads per engine that the weight store serves at full speed.
 	MaxLoadFactorNew        float64       // Maximum loads, as a multiple of the full-speed loads, if no engine holds the adapter.
 	MaxLoadFactorSpread     float64       // The same if an engine holds the adapter: the load also serves its later requests.
-	// LeastUrgentLoadShare is the part of these maxima that applies to the least urgent class of requests. The rest is
-	// left to more urgent ones.
-	LeastUrgentLoadShare float64
-	CrowdedThreshold     float64       // Loads, as a multiple of the full-speed loads, above which CrowdedCost applies.
-	ColdCost             time.Duration // Of a load from the weight store if another engine holds the adapter or has it cached.
-	WarmCost             time.Duration // Of a load from the host cache if another engine holds the adapter.
-	CrowdedCost          time.Duration // Added to ColdCost above CrowdedThreshold.
-	NonPreferredCost     time.Duration // Of a first load on an engine other than the adapter's preferred one.
-	OtherDomainCost      time.Duration // Of an engine in another failure domain.
-	FailingCost          time.Duration // Of an engine that fails all requests; proportional below that.
-	LateEventCost        time.Duration // Of an engine on which the stream certainly has a late event; proportional below that.
+	CrowdedThreshold        float64       // Loads, as a multiple of the full-speed loads, above which CrowdedCost applies.
+	ColdCost                time.Duration // Of a load from the weight store if another engine holds the adapter or has it cached.
+	WarmCost                time.Duration // Of a load from the host cache if another engine holds the adapter.
+	CrowdedCost             time.Duration // Added to ColdCost above CrowdedThreshold.
+	NonPreferredCost        time.Duration // Of a first load on an engine other than the adapter's preferred one.
+	OtherDomainCost         time.Duration // Of an engine in another failure domain.
+	FailingCost             time.Duration // Of an engine that fails all requests; proportional below that.
+	LateEventCost           time.Duration // Of an engine on which the stream certainly has a late event; proportional below that.
 	// SpreadHorizon is the time over which the requests for an adapter share the cost of a load on one more
 	// engine.
 	SpreadHorizon time.Duration
@@ -53,14 +50,13 @@
 		MaxLoadFactorNew: 1.5,
 		// At this limit a load takes 1 s. The request that causes it misses its
 		// target, but the ones after it meet theirs.
-		MaxLoadFactorSpread:  4,
-		LeastUrgentLoadShare: 1,
-		ColdCost:             400 * time.Millisecond, // Below the shortest latency target, 600 ms: a missed target is worse than a load.
-		WarmCost:             40 * time.Millisecond,
-		CrowdedCost:          900 * time.Millisecond, // Above the latency targets: an adapter spreads only if its queue misses them.
-		NonPreferredCost:     150 * time.Millisecond,
-		OtherDomainCost:      8 * time.Millisecond, // A few round trips between failure domains.
-		FailingCost:          3 * time.Second,
+		MaxLoadFactorSpread: 4,
+		ColdCost:            400 * time.Millisecond, // Below the shortest latency target, 600 ms: a missed target is worse than a load.
+		WarmCost:            40 * time.Millisecond,
+		CrowdedCost:         900 * time.Millisecond, // Above the latency targets: an adapter spreads only if its queue misses them.
+		NonPreferredCost:    150 * time.Millisecond,
+		OtherDomainCost:     8 * time.Millisecond, // A few round trips between failure domains.
+		FailingCost:         3 * time.Second,
 		// A late event makes a response late, like a first event after its target of
 		// 600 to 1,000 ms.
 		LateEventCost:      800 * time.Millisecond,
@@ -71,10 +67,6 @@
 	}
 }
 
-// ScarceLoadShare is LeastUrgentLoadShare where classes compete for loads. The least urgent one may use 1.28 times the full
-// speed, which keeps the weight store busy if it is alone.
-const ScarceLoadShare = 0.85
-
 // Engine is a candidate engine.
 type Engine struct {
 	ID               catalog.EndpointID
@@ -94,7 +86,6 @@
 	FailureDomain string        // Failure domain of the router.
 	Seed          uint64        // Random number of the request.
 	Priority      int           // 0 is the most urgent.
-	UrgencyRank   float64       // Rank among the classes of requests for the service: 0 for the most urgent, 1 for the least.
 	PromptTokens  int           // Tokens of the prompt.
 	SharedTokens  int           // Prompt tokens that other requests share.
 	MeanEvents    float64       // Mean number of events of such a stream.
@@ -180,8 +171,7 @@
 	if s.resident {
 		maxLoads = c.MaxLoadFactorSpread
 	}
-	share := 1 - (1-c.LeastUrgentLoadShare)*job.UrgencyRank
-	s.loadsAtLimit = float64(loading+1) > maxLoads*share*fullSpeedLoads
+	s.loadsAtLimit = float64(loading+1) > maxLoads*fullSpeedLoads
 	s.coldLoadTime = time.Duration(float64(c.ColdLoadTime) * max(1, float64(loading+1)/fullSpeedLoads))
 	return s
 }
@@ -249,7 +239,7 @@
 	if choice.Resident {
 		cost += time.Duration(randomShare(job.Seed, e.ID) * float64(c.MaxRandomCost))
 	} else {
-		loadWait, loadCost := loadWaitAndCost(c, job, e, fleet)
+		loadWait, loadCost := loadWaitAndCost(c, e, fleet)
 		wait = max(wait, loadWait)
 		cost += loadCost
 		if !e.Cached {
@@ -275,7 +265,7 @@
 
 // loadWaitAndCost returns the expected wait until the engine holds the adapter and
 // the cost to add to it.
-func loadWaitAndCost(c Config, job Job, e Engine, fleet fleetState) (wait, cost time.Duration) {
+func loadWaitAndCost(c Config, e Engine, fleet fleetState) (wait, cost time.Duration) {
 	switch {
 	case e.Cached:
 		wait = c.WarmLoadTime
@@ -294,8 +284,8 @@
 			cost = c.NonPreferredCost
 		}
 	}
-	if e.Snapshot.IdleSlotsFor(job.Priority) == 0 {
-		wait += millis.Duration(e.Snapshot.SlotWaitFor(job.Priority))
+	if e.Snapshot.IdleAdapterSlots == 0 {
+		wait += millis.Duration(e.Snapshot.AdapterSlotWaitMS)
 	}
 	return wait, cost
 }
--- a/internal/policy/routing/routing_test.go
+++ b/internal/policy/routing/routing_test.go
@@ -282,20 +282,3 @@
 		t.Errorf("RankPlainEndpoints() = %v, want usual first", got)
 	}
 }
-
-// Guards against loads for less urgent requests that delay those of more urgent ones while the weight store is at its
-// limit.
-func TestLessUrgentRequestsLeaveLoadsToUrgentOnes(t *testing.T) {
-	config := DefaultConfig()
-	config.LeastUrgentLoadShare = ScarceLoadShare
-	engines := fleet(18)
-	for i := range 10 { // The limit is 12 loads, and 10.2 for the least urgent.
-		engines[i].Snapshot.LoadingAdapters = 1
-	}
-	for rank, limited := range map[float64]bool{0: false, 0.5: false, 1: true} {
-		job := Job{Key: key(1), FailureDomain: "a", UrgencyRank: rank}
-		if got := Rank(config, job, engines)[0].LoadLimitExceeded; got != limited {
-			t.Errorf("10 loads in progress, urgency rank %g: LoadLimitExceeded = %v, want %v", rank, got, limited)
-		}
-	}
-}
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -91,19 +91,11 @@
 func (r *Router) job(q *request, now time.Time) routing.Job {
 	return routing.Job{
 		Key: q.call.Adapter, FailureDomain: r.settings.FailureDomain, Seed: rendezvous.Hash(q.call.RequestID), Priority: q.priority(), PromptTokens: q.call.PromptTokens,
-		UrgencyRank: r.urgencyRank(q), SharedTokens: q.sharedTokens(), MeanEvents: r.streamLengths.expected(q.route.Name),
+		SharedTokens: q.sharedTokens(), MeanEvents: r.streamLengths.expected(q.route.Name),
 		Routers: min(r.peers.Count(), maxLoadingRouters), MaxOnTimeWait: q.onTimeWait(now),
 	}
 }
 
-// urgencyRank returns the rank of the request's priority, where loads are shared by it.
-func (r *Router) urgencyRank(q *request) float64 {
-	if r.routing.LeastUrgentLoadShare == 1 {
-		return 0
-	}
-	return r.urgency.rank(q.config, q.service.Name, q.priority())
-}
-
 // requestGrant requests a grant from one engine's scheduler. If it is not granted,
 // requestGrant returns the expected wait. If the scheduler's last snapshot is stale and lists
 // the adapter as loaded, the request is sent without a grant, unless the engine names a rate
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -142,15 +142,12 @@
 // routePriorities is the number of route priorities within one organisation priority.
 const routePriorities = 3
 
-// priority returns the request's priority; 0 is the most urgent.
-func (q *request) priority() int { return priorityOf(q.route, q.org) }
-
-// priorityOf returns the priority of the requests of an organisation, nil on a public route. The organisation's priority
+// priority returns the request's priority; 0 is the most urgent. The organisation's priority
 // takes precedence over the route's.
-func priorityOf(r *catalog.Route, o *catalog.Organisation) int {
-	rank := min(r.Priority, routePriorities-1)
-	if o != nil && o.Priority >= 0 {
-		rank += routePriorities * o.Priority
+func (q *request) priority() int {
+	rank := min(q.route.Priority, routePriorities-1)
+	if q.org != nil && q.org.Priority >= 0 {
+		rank += routePriorities * q.org.Priority
 	}
 	return rank
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -73,7 +73,6 @@
 	budgets         *retryBudgets
 	streamLengths   *streamLengths
 	stopper         *stopper
-	urgency         urgencyClasses
 	routing         routing.Config
 	counters        *Counters
 	metrics         *process.Metrics
@@ -94,9 +93,6 @@
 		counters: NewCounters(metrics.Scope.SubScope("router")), state: catalog.NewState(),
 		store: platform.NewStoreClient(s.StoreAddress),
 	}
-	if platform.ParseRules(s.Rules).ScarceCapacity {
-		r.routing.LeastUrgentLoadShare = routing.ScarceLoadShare
-	}
 	r.memory = bodies.NewMemoryOfVM(s.MemoryMB, smallBytes, r.counters.scope)
 	r.limiter = connlimit.New(connlimit.LimitsOfVM(s.MemoryMB, s.MaxFDs), "callers", r.counters.scope)
 	r.pool.SocketBytes = sockopt.BytesOfVM(s.MemoryMB)
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -31,7 +31,6 @@
 	Regions    settings.StringMap
 	RetryRatio float64 // Retries per request that all routers together may make.
 	RetryBurst float64 // Retries beyond the ratio that all routers together may make in any window.
-	Rules      string  // Rules of the platform that are in force, separated by commas.
 }
 
 // defaultEvacuateBound is the bound of today's deployments.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -43,7 +43,6 @@
 	AdminAddress  string // Listen address of the metrics.
 	StoreAddress  string // Address of the key-value store.
 	MemoryMB      int    // Memory of the VM; 0 sets no limit.
-	Rules         string // Rules of the platform that are in force, separated by commas.
 }
 
 // Check returns an error that lists all invalid settings, or nil.
@@ -76,17 +75,10 @@
 	counters := NewCounters(metrics.Scope.SubScope("scheduler"))
 	return &Scheduler{
 		settings: s, log: log, metrics: metrics, state: catalog.NewState(),
-		engine: NewEngine(client, machineConfig(s), s.Service, log, counters),
+		engine: NewEngine(client, grants.DefaultConfig(), s.Service, log, counters),
 	}
 }
 
-// machineConfig returns the configuration of the engine's machine.
-func machineConfig(s Settings) grants.Config {
-	c := grants.DefaultConfig()
-	c.KeepUrgentSlots = platform.ParseRules(s.Rules).ScarceCapacity
-	return c
-}
-
 // Serve runs the scheduler until ctx ends. It returns an error if a listen address cannot be
 // bound.
 func (s *Scheduler) Serve(ctx context.Context) error {
