routing: engines are chosen by the work that other routers are expected to have sent

The busiest engine has a multiple of the mean load. Change: Rank spreads requests over the engines that hold the adapter by policy/spreading. Engines that need a load stay behind holders, and without unseen work the order is as before. Log field snapshot_age_ms and metric snapshot_age_seconds.

--- a/internal/policy/routing/engines.go
+++ b/internal/policy/routing/engines.go
@@ -10,6 +10,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/millis"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/rendezvous"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/spreading"
 )
 
 // Config configures the ranking of engines. A cost is the additional expected
@@ -37,6 +38,7 @@
 	MaxRandomCost      time.Duration
 	StaleSnapshotCost  time.Duration // Of an engine whose scheduler sends no snapshots.
 	PrefillTokensPerMS float64       // Prefill speed of an engine in tokens per millisecond, at normal speed.
+	MinSlowdown        float64       // Lowest slowdown that counts; engines that are faster than normal have one below 1.
 }
 
 // DefaultConfig returns the configuration for the engines of the platform.
@@ -63,6 +65,7 @@
 		SpreadHorizon:      3 * time.Second,
 		MaxRandomCost:      200 * time.Millisecond,
 		StaleSnapshotCost:  400 * time.Millisecond,
+		MinSlowdown:        1,
 		PrefillTokensPerMS: 32, // 1,024 tokens take a step of 4.4 ms and 27 ms of prefill.
 	}
 }
@@ -72,6 +75,7 @@
 	ID               catalog.EndpointID
 	FailureDomain    string
 	Snapshot         grants.Snapshot
+	SnapshotAge      time.Duration
 	SnapshotFresh    bool    // The scheduler is sending snapshots; otherwise Snapshot is the last one received.
 	PendingPrefillMS float64 // Prefill time, at normal speed, of the requests that this router sent since the snapshot.
 	PendingLoads     int     // Loads from the weight store that this router caused since the snapshot.
@@ -91,12 +95,18 @@
 	MeanEvents    float64       // Mean number of events of such a stream.
 	Routers       int           // Routers that send to the engines, including this one; 0 counts as 1.
 	MaxOnTimeWait time.Duration // Wait above which the request misses its latency target; 0 if it has none.
+	// OthersPrefillRate is the prefill time, at normal speed, that all other routers are expected to send to the
+	// engines of the service per unit of time. It and the ages of the snapshots give the work that is not seen.
+	OthersPrefillRate float64
 }
 
 // Choice is a ranked engine.
 type Choice struct {
 	ID                catalog.EndpointID
 	ExpectedWait      time.Duration // Expected wait until the request starts.
+	Cost              time.Duration // ExpectedWait and the costs added to it, by which engines are ranked.
+	Slowdown          float64       // Prefill time as a multiple of the time at normal speed.
+	SnapshotAge       time.Duration // Of the engine's snapshot.
 	Resident          bool
 	ColdLoadTime      time.Duration // Expected time of the load from the weight store; 0 if none is needed.
 	LoadLimitExceeded bool          // That load would exceed the limit on concurrent loads.
@@ -106,8 +116,7 @@
 func Rank(c Config, job Job, engines []Engine) []Choice {
 	type scored struct {
 		Choice
-		late  bool
-		score time.Duration
+		late bool
 	}
 	fleet := summarizeFleet(c, job, engines)
 	list := make([]scored, 0, len(engines))
@@ -115,9 +124,8 @@
 		if e.Tried || !servesModel(e, job.Key.Model) {
 			continue
 		}
-		choice, cost := evaluate(c, job, e, fleet)
-		late := job.MaxOnTimeWait > 0 && choice.ExpectedWait > job.MaxOnTimeWait
-		list = append(list, scored{choice, late, choice.ExpectedWait + cost})
+		choice := evaluate(c, job, e, fleet)
+		list = append(list, scored{choice, job.MaxOnTimeWait > 0 && choice.ExpectedWait > job.MaxOnTimeWait})
 	}
 	slices.SortStableFunc(list, func(a, b scored) int {
 		if a.late != b.late {
@@ -126,8 +134,27 @@
 			}
 			return -1
 		}
-		return cmp.Compare(a.score, b.score)
+		return cmp.Compare(a.Cost, b.Cost)
 	})
+	if unseen := unseenPrefillMS(job, engines); unseen > 0 && len(list) > 0 && list[0].Resident {
+		// Engines that need a load stay behind those that hold the adapter: loads are scarce, and all routers prefer
+		// the same engine for them.
+		isPeer := func(s scored) bool { return s.Resident && s.late == list[0].late }
+		peers := make([]Choice, 0, len(list))
+		for _, s := range list {
+			if isPeer(s) {
+				peers = append(peers, s.Choice)
+			}
+		}
+		// The requests for other adapters are spread over all engines, so that these get their part of the work.
+		out := spread(peers, unseen*float64(len(peers))/float64(len(engines)), job.Seed)
+		for _, s := range list {
+			if !isPeer(s) {
+				out = append(out, s.Choice)
+			}
+		}
+		return out
+	}
 	out := make([]Choice, len(list))
 	for i, s := range list {
 		out[i] = s.Choice
@@ -135,6 +162,35 @@
 	return out
 }
 
+// unseenPrefillMS returns the prefill time that other routers are expected to have sent to all engines since the
+// snapshots.
+func unseenPrefillMS(job Job, engines []Engine) float64 {
+	ageMS, fresh := 0.0, 0
+	for _, e := range engines {
+		if e.SnapshotFresh {
+			ageMS += millis.FromDuration(e.SnapshotAge)
+			fresh++
+		}
+	}
+	return job.OthersPrefillRate * ageMS / float64(max(fresh, 1))
+}
+
+// spread orders engines by their costs and the work that other routers are expected to have sent to them since the
+// snapshots.
+func spread(choices []Choice, unseenMS float64, seed uint64) []Choice {
+	candidates := make([]spreading.Candidate, len(choices))
+	for i, choice := range choices {
+		candidates[i] = spreading.Candidate{
+			Cost: millis.FromDuration(choice.Cost), Capacity: 1 / choice.Slowdown, Draw: randomShare(^seed, choice.ID), // Independent of the random cost.
+		}
+	}
+	out := make([]Choice, 0, len(choices))
+	for _, i := range spreading.Order(unseenMS, candidates) {
+		out = append(out, choices[i])
+	}
+	return out
+}
+
 // fleetState is the state of all engines that the evaluation of each one uses.
 type fleetState struct {
 	crowded      bool               // The loads from the weight store exceed CrowdedThreshold.
@@ -223,12 +279,15 @@
 	return nil
 }
 
-// evaluate returns the expected wait on an engine and the costs to add to it.
-func evaluate(c Config, job Job, e Engine, fleet fleetState) (Choice, time.Duration) {
-	slowdown := max(e.Snapshot.Slowdown, 1) // 0 if no snapshot was received.
+// evaluate returns the expected wait on an engine and its cost.
+func evaluate(c Config, job Job, e Engine, fleet fleetState) Choice {
+	slowdown := max(e.Snapshot.Slowdown, c.MinSlowdown)
+	if e.Snapshot.Slowdown <= 0 {
+		slowdown = 1 // No snapshot was received.
+	}
 	waitMS := float64(e.Snapshot.PrefillWaitMS[min(max(job.Priority, 0), grants.NumPriorities-1)])
 	wait := millis.Duration(waitMS + slowdown*e.PendingPrefillMS)
-	choice := Choice{ID: e.ID, Resident: canRun(e, job.Key)}
+	choice := Choice{ID: e.ID, Slowdown: slowdown, SnapshotAge: e.SnapshotAge, Resident: canRun(e, job.Key)}
 	if len(e.Snapshot.Models) == 0 {
 		wait += 10 * c.ColdLoadTime // Loading a model takes seconds.
 	}
@@ -254,7 +313,8 @@
 	if e.FailureDomain != job.FailureDomain {
 		cost += c.OtherDomainCost
 	}
-	return choice, cost
+	choice.Cost = choice.ExpectedWait + cost
+	return choice
 }
 
 // lateEventProbability returns the probability that at least one event of the
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -16,6 +16,7 @@
 	firstByte         tally.Histogram
 	duration          tally.Histogram
 	grantWait         tally.Histogram
+	snapshotAge       tally.Histogram // Of the snapshot that decided on the engine.
 	connections       tally.Counter
 	rateLimited       tally.Counter // Plain endpoints left out for a request because of their rate limits.
 	endpointsDraining tally.Counter // Endpoints that said in a response that they drain.
@@ -30,6 +31,12 @@
 	time.Second, 2 * time.Second, 5 * time.Second, 15 * time.Second,
 }
 
+// snapshotAgeBuckets reach to the age from which a snapshot is stale.
+var snapshotAgeBuckets = tally.DurationBuckets{
+	30 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond,
+	800 * time.Millisecond, snapshotTimeout,
+}
+
 // NewCounters registers the router's metrics in scope.
 func NewCounters(scope tally.Scope) *Counters {
 	return &Counters{
@@ -37,6 +44,7 @@
 		firstByte:         scope.Histogram("first_byte_seconds", latencyBuckets),
 		duration:          scope.Histogram("request_seconds", latencyBuckets),
 		grantWait:         scope.Histogram("turn_wait_seconds", latencyBuckets),
+		snapshotAge:       scope.Histogram("snapshot_age_seconds", snapshotAgeBuckets),
 		connections:       scope.Counter("endpoint_connections_total"),
 		rateLimited:       scope.Counter("endpoint_rate_limited_total"),
 		endpointsDraining: scope.Counter("endpoints_draining_total"),
@@ -58,6 +66,7 @@
 	}
 	if q.trace.grantWait > 0 {
 		c.grantWait.RecordDuration(q.trace.grantWait)
+		c.snapshotAge.RecordDuration(q.trace.snapshotAge)
 	}
 }
 
@@ -95,6 +104,7 @@
 	}
 	if q.call.Adapter.Adapter != "" {
 		fields["adapter"], fields["version"], fields["cold"] = q.call.Adapter.Adapter, q.trace.version, q.trace.cold
+		fields["snapshot_age_ms"] = q.trace.snapshotAge.Milliseconds()
 		fields["expected_ms"], fields["waited_ms"] = q.trace.expectedWait.Milliseconds(), q.trace.grantWait.Milliseconds()
 		fields["pause_ms"] = q.trace.longestGap.Milliseconds()
 		fields["events"], fields["prompt"], fields["units"] = q.events, q.call.PromptTokens, q.units
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -222,7 +222,7 @@
 			continue
 		}
 		out = append(out, routing.Engine{
-			ID: ep.ID, FailureDomain: ep.FailureDomain, Snapshot: state.snapshot, SnapshotFresh: state.fresh,
+			ID: ep.ID, FailureDomain: ep.FailureDomain, Snapshot: state.snapshot, SnapshotFresh: state.fresh, SnapshotAge: state.age,
 			PendingPrefillMS: state.pendingPrefillMS, PendingLoads: state.pendingLoads,
 			FailureRate: health.FailureRate(now),
 			Cached:      conn.cached(q.call.Adapter), Tried: q.excludes(ep) || health.IsBlocked(now),
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -65,7 +65,7 @@
 			q.tried[best.ID] = true
 			continue
 		}
-		q.trace.expectedWait = best.ExpectedWait
+		q.trace.expectedWait, q.trace.snapshotAge = best.ExpectedWait, best.SnapshotAge
 		if best.LoadLimitExceeded {
 			q.addStep(best.ID, "loads_crowded")
 			return nil, minBusyRetryAfter
@@ -88,7 +88,8 @@
 	return routing.Job{
 		Key: q.call.Adapter, FailureDomain: r.settings.FailureDomain, Seed: rendezvous.Hash(q.call.RequestID), Priority: q.priority(), PromptTokens: q.call.PromptTokens,
 		SharedTokens: q.sharedTokens(), MeanEvents: r.streamLengths.expected(q.route.Name),
-		Routers: min(r.peers.Count(), maxLoadingRouters), MaxOnTimeWait: q.onTimeWait(now),
+		OthersPrefillRate: r.sendRates.others(q.service.Name, r.peers.Count(), now),
+		Routers:           min(r.peers.Count(), maxLoadingRouters), MaxOnTimeWait: q.onTimeWait(now),
 	}
 }
 
@@ -111,7 +112,9 @@
 		return nil, minRetryAfter
 	}
 	maxWait := q.maxWait(now)
-	conn.addPending(now, float64(q.call.PromptTokens)/r.routing.PrefillTokensPerMS, choice.ColdLoadTime > 0)
+	prefillMS := float64(q.call.PromptTokens) / r.routing.PrefillTokensPerMS
+	r.sendRates.add(q.service.Name, prefillMS, now)
+	conn.addPending(now, prefillMS, choice.ColdLoadTime > 0)
 	began := time.Now()
 	g, reply, err := conn.requestGrant(q.ctx, schedulerapi.GrantRequest{
 		RequestID: q.call.RequestID, EndpointID: string(endpoint.ID), Incarnation: endpoint.Incarnation,
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -54,6 +54,7 @@
 	outcome      string // Final result, such as "answered" or a refusal code.
 	service      string
 	expectedWait time.Duration // Wait for the engine as estimated by the router.
+	snapshotAge  time.Duration // Age of the snapshot by which the engine was chosen.
 	grantWait    time.Duration // Time spent waiting for grants.
 	cold         bool          // The request waited for an adapter load.
 	version      int64         // Adapter version that the scheduler granted.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,7 @@
 	pool            *upstream.Pool
 	schedulerConns  *schedulerConns
 	endpointTracker *endpointTracker
+	sendRates       *sendRates
 	relays          *relay.Relays
 	changes         *relay.Server
 	peers           *quota.Peers
@@ -80,7 +81,7 @@
 func New(s Settings, log *logrus.Entry) *Router {
 	metrics := process.NewMetrics()
 	r := &Router{
-		settings: s, log: log, pool: upstream.NewPool(), endpointTracker: newEndpointTracker(),
+		settings: s, log: log, pool: upstream.NewPool(), endpointTracker: newEndpointTracker(), sendRates: newSendRates(),
 		streamLengths: newStreamLengths(), stopper: newStopper(s.ShutdownGrace), routing: routing.DefaultConfig(), metrics: metrics,
 		counters: NewCounters(metrics.Scope.SubScope("router")), state: catalog.NewState(),
 		store: platform.NewStoreClient(s.StoreAddress),
--- a/internal/router/schedulerconn.go
+++ b/internal/router/schedulerconn.go
@@ -178,9 +178,10 @@
 // engineState is the router's view of an engine at one moment.
 type engineState struct {
 	snapshot         grants.Snapshot
-	fresh            bool    // The snapshot is younger than snapshotTimeout.
-	pendingPrefillMS float64 // Estimated prefill time of the pending grants.
-	pendingLoads     int     // Loads from the weight store that were requested after the snapshot.
+	age              time.Duration // Time since the snapshot was received.
+	fresh            bool          // The snapshot is younger than snapshotTimeout.
+	pendingPrefillMS float64       // Estimated prefill time of the pending grants.
+	pendingLoads     int           // Loads from the weight store that were requested after the snapshot.
 }
 
 // snapshotAge returns the time since the last snapshot.
@@ -194,7 +195,8 @@
 func (c *schedulerConn) state(now time.Time) engineState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := engineState{snapshot: c.snapshot, fresh: now.Sub(c.snapshotAt) < snapshotTimeout}
+	age := now.Sub(c.snapshotAt)
+	s := engineState{snapshot: c.snapshot, age: age, fresh: age < snapshotTimeout}
 	kept := c.pending[:0]
 	for _, p := range c.pending {
 		if now.Sub(p.requestedAt) >= pendingGrantTTL {
