policy/spreading: without unseen work equal candidates stay in place

Cause: candidates of equal cost were drawn by their capacity also without unseen work, where the order is to be as before. Change: Order sorts by cost alone then. Result: TestOldSlowSampleDoesNotKeepEndpointOut failed with a lower capacity of endpoints without a recent success, and passes.

--- a/internal/policy/spreading/spreading.go
+++ b/internal/policy/spreading/spreading.go
@@ -65,7 +65,8 @@
 }
 
 // Order returns the indexes of the candidates in the order in which to try them: a weighted random order of those
-// with a share of the unseen work, and then the others by cost. The draws alone decide the random part.
+// with a share of the unseen work, and then the others by cost. The draws alone decide the random part. Without unseen
+// work all are in the order of their costs, and equal ones stay in place.
 func Order(unseen float64, candidates []Candidate) []int {
 	shares := Shares(unseen, candidates)
 	keys := make([]float64, len(candidates))
@@ -74,7 +75,7 @@
 		order[i] = i
 		// The minimum of exponential variables with the shares as rates is each one with the probability of its share.
 		keys[i] = -math.Log(max(c.Draw, math.SmallestNonzeroFloat64)) / shares[i]
-		if shares[i] <= 0 {
+		if unseen <= 0 || shares[i] <= 0 {
 			keys[i] = math.Inf(1)
 		}
 	}
