routing: plain endpoints are chosen by the requests that other routers have in progress

Cause: a router sees its own requests in progress only. With many routers each has few, and all of them prefer the endpoints with the most slots. Change: RankPlainEndpoints spreads by policy/spreading. The requests of the others are the router's own rate times the other routers times the median latency. An endpoint without a recent success counts as slow there. Without known latency, or for a router that is alone, the order is as before. The calls in three existing tests get the new argument 0.

--- a/internal/policy/routing/latency_test.go
+++ b/internal/policy/routing/latency_test.go
@@ -24,7 +24,7 @@
 					ID: "usual", FailureDomain: "a", Slots: 6, Outstanding: n, LatencyMS: usual.LatencyMS(now),
 				})
 			}
-			if RankPlainEndpoints("a", endpoints, func() float64 { return 0 })[0] == catalog.EndpointID("slow") {
+			if RankPlainEndpoints("a", endpoints, 0, func() float64 { return 0 })[0] == catalog.EndpointID("slow") {
 				chosen++
 				slow.RecordSuccess(2*time.Millisecond, now)
 			}
--- a/internal/policy/routing/plain.go
+++ b/internal/policy/routing/plain.go
@@ -1,10 +1,10 @@
 package routing
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/spreading"
 )
 
 // PlainEndpoint is a candidate endpoint of a plain service, one without adapters.
@@ -23,21 +23,26 @@
 	// slots are in use. An endpoint that fails half of its requests scores like
 	// one with a full queue: four times as many requests as slots.
 	failureWeight = 8
+	// unknownSlowdown is the slowdown that is assumed, when requests are spread, of an endpoint without a recent
+	// success. With 300 routers each one has had a recent success at a part of the endpoints only. With 1 in its
+	// place the 99th percentile rises by a fifth there, with 2 by 7%.
+	unknownSlowdown = 4
 	// otherDomainPenalty prefers the router's failure domain among endpoints with
 	// similar scores.
 	otherDomainPenalty = 0.1
 )
 
 // RankPlainEndpoints returns the untried endpoints, best first. random returns a
-// number in [0, 1) for each endpoint, which adds up to 0.05 to its score. It spreads
-// the choices of routers that have the same view.
-func RankPlainEndpoints(routerDomain string, endpoints []PlainEndpoint, random func() float64) []catalog.EndpointID {
-	type scored struct {
-		id    catalog.EndpointID
-		score float64
-	}
+// number in [0, 1). One for each endpoint adds up to 0.05 to its score, which spreads
+// the choices of routers that have the same view. othersRate is the number of requests
+// per millisecond that all other routers are expected to send to the service: with the
+// latency it gives their requests in progress, which this router does not see.
+func RankPlainEndpoints(
+	routerDomain string, endpoints []PlainEndpoint, othersRate float64, random func() float64,
+) []catalog.EndpointID {
+	var ids []catalog.EndpointID
+	var candidates []spreading.Candidate
 	median := medianLatency(endpoints)
-	list := make([]scored, 0, len(endpoints))
 	for _, e := range endpoints {
 		if e.Tried {
 			continue
@@ -46,16 +51,20 @@
 		if e.LatencyMS > 0 && median > 0 {
 			slowdown = max(e.LatencyMS/median, 0.5)
 		}
-		score := (float64(e.Outstanding)+1)/float64(max(e.Slots, 1))*slowdown + failureWeight*e.FailureRate + 0.05*random()
+		capacity := float64(max(e.Slots, 1)) / slowdown
+		score := (float64(e.Outstanding)+1)/capacity + failureWeight*e.FailureRate + 0.05*random()
 		if e.FailureDomain != routerDomain {
 			score += otherDomainPenalty
 		}
-		list = append(list, scored{e.ID, score})
+		ids = append(ids, e.ID)
+		if e.LatencyMS == 0 && median > 0 {
+			capacity /= unknownSlowdown
+		}
+		candidates = append(candidates, spreading.Candidate{Cost: score, Capacity: capacity, Draw: random()})
 	}
-	slices.SortStableFunc(list, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
-	out := make([]catalog.EndpointID, len(list))
-	for i, s := range list {
-		out[i] = s.id
+	out := make([]catalog.EndpointID, len(ids))
+	for i, j := range spreading.Order(othersRate*median, candidates) {
+		out[i] = ids[j]
 	}
 	return out
 }
--- a/internal/policy/routing/routing_test.go
+++ b/internal/policy/routing/routing_test.go
@@ -264,7 +264,7 @@
 		{ID: "failing", FailureDomain: "a", Slots: 6, FailureRate: 0.5},
 		{ID: "tried", FailureDomain: "a", Slots: 6, Tried: true},
 	}
-	got := fmt.Sprint(RankPlainEndpoints("a", list, noJitter))
+	got := fmt.Sprint(RankPlainEndpoints("a", list, 0, noJitter))
 	if got != "[free far busy failing]" {
 		t.Errorf("RankPlainEndpoints() = %v, want [free far busy failing]", got)
 	}
@@ -278,7 +278,7 @@
 		{ID: "usual", FailureDomain: "a", Slots: 6, LatencyMS: 60, Outstanding: 2},
 		{ID: "usual2", FailureDomain: "a", Slots: 6, LatencyMS: 60, Outstanding: 2},
 	}
-	if got := RankPlainEndpoints("a", list, noJitter); got[0] != "usual" {
+	if got := RankPlainEndpoints("a", list, 0, noJitter); got[0] != "usual" {
 		t.Errorf("RankPlainEndpoints() = %v, want usual first", got)
 	}
 }
--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -39,14 +39,16 @@
 	v := r.state.View()
 	now, list := time.Now(), q.permitted(v.Endpoints[q.service.Name])
 	candidates := r.endpointTracker.plainCandidates(list, q.excludes, now)
+	othersRate := r.sendRates.others(q.service.Name, r.peers.Count(), now)
 	minWait := r.endpointTracker.minPushback(list, now)
-	for _, id := range routing.RankPlainEndpoints(r.settings.FailureDomain, candidates, rand.Float64) {
+	for _, id := range routing.RankPlainEndpoints(r.settings.FailureDomain, candidates, othersRate, rand.Float64) {
 		endpoint := v.FindEndpoint(q.service.Name, id)
 		if endpoint == nil {
 			continue
 		}
 		d := r.endpointLimits.Take(q.ctx, endpoint, r.endpointTracker.rateLimit(endpoint))
 		if d.Admitted {
+			r.sendRates.add(q.service.Name, 1, now)
 			return &placement{endpoint: endpoint, software: endpoint.SoftwareVersion}, 0
 		}
 		r.counters.rateLimited.Inc(1)
