--- a/cmd/hyssop-load/main.go
+++ b/cmd/hyssop-load/main.go
@@ -30,6 +30,7 @@
 	quarantine.Crashes,
 	quarantine.RetryStorm,
 	serving.Experiment,
+	serving.NewSpreading(),
 }
 
 func main() {
--- a/internal/experiment/serving/deployment.go
+++ b/internal/experiment/serving/deployment.go
@@ -37,8 +37,17 @@
 	tokensPerEvent     int
 	kvTokens           int // Size of an engine's KV cache.
 	classes            []class
+	// The fields below are 0 in deployments whose routers see snapshots that are up to snapshotInterval old.
+	domains     int           // Failure domains, to which engines and routers belong in rotation.
+	swing       float64       // Part by which demand rises and falls within swingPeriod, with the phases of the domains shifted.
+	reportDelay time.Duration // Time from a snapshot until the routers see it.
+	reportEvery time.Duration // Time between two snapshots.
+	lostReports float64       // Part of the snapshots that no router sees.
 }
 
+// swingPeriod is the period in which the demand of a failure domain swings.
+const swingPeriod = 15 * time.Second
+
 // deployments have the sizes and loads of two deployments of the platform. The
 // platform gives prompt lengths as means only; their distribution is an
 // assumption of the model.
@@ -102,3 +111,30 @@
 	{name: "popularity moving on", loadFactor: 1, shiftInterval: 5 * time.Second, shiftRanks: 40},
 	{name: "a third of the engines gone", loadFactor: 1, crashOneIn: 3},
 }
+
+// slow and fast are the step times of engines at 0.55 and at 1.2 of the nominal speed.
+const slow, fast = 1 / 0.55, 1 / 1.2
+
+// staleDeployments have the sizes and loads of deployments A and B of docs/design/overload.md, which do not give all
+// figures: the prompts are those of the deployments above.
+var staleDeployments = []deploymentSpec{
+	{
+		name: "A", engines: 47, routers: 26, slowdowns: []float64{1, 1, 1.3}, adapters: 9400, zipfExponent: 1.2, adapterSlots: 7,
+		requestSlots: 96, cachedAdapters: 42, fullSpeedTransfers: 24, stepTime: 4430 * time.Microsecond, stepTimePerRun: 19 * time.Microsecond,
+		prefillTokensPerMS: 38.1, tokensPerEvent: 5, kvTokens: 188_874, domains: 3, reportDelay: 100 * time.Millisecond, reportEvery: 500 * time.Millisecond,
+		classes: []class{
+			{"premium summaries", 54, time.Second, 300 * time.Millisecond, 5 * time.Second, 4.2, 0.17, 0, 6300, 2890, 1, 52, 52},
+			{"basic summaries", 13, time.Second, 300 * time.Millisecond, 10 * time.Second, 2.3, 0.69, 1, 6300, 2890, 1, 52, 52},
+			{"chats", 91, 2 * time.Second, 300 * time.Millisecond, 15 * time.Second, 0.85, 0.26, 2, 198, 628, 0.7, 290, 67},
+		},
+	},
+	{
+		name: "B", engines: 38, routers: 26, slowdowns: []float64{slow, fast, fast, fast}, adapters: 7600, zipfExponent: 1.2, adapterSlots: 7,
+		requestSlots: 64, cachedAdapters: 42, fullSpeedTransfers: 16, stepTime: 4430 * time.Microsecond, stepTimePerRun: 19 * time.Microsecond,
+		prefillTokensPerMS: 38.1, tokensPerEvent: 5, kvTokens: 254_706, domains: 3, swing: 0.55, reportDelay: 100 * time.Millisecond, reportEvery: 500 * time.Millisecond,
+		classes: []class{
+			{"reviews", 60, time.Second, 300 * time.Millisecond, 5 * time.Second, 2.3, 0.69, 1, 6300, 2890, 1, 52, 52},
+			{"replies", 72, 600 * time.Millisecond, 300 * time.Millisecond, 15 * time.Second, 0.85, 0.26, 0, 198, 628, 0.7, 290, 67},
+		},
+	},
+}
--- a/internal/experiment/serving/doc.go
+++ b/internal/experiment/serving/doc.go
@@ -14,7 +14,10 @@
 // limits on loads, and three baselines: a random engine, the least loaded engine
 // (with exact knowledge of the queues) and plain consistent hashing.
 //
+// The experiment spreading compares ways to choose by older snapshots, on engines of uneven speed in three failure
+// domains whose demand swings: snapshots are 100 to 600 ms old, and a part of them may be lost.
+//
 // The model leaves out memory and preemption, failures of single runs, quotas,
-// plain services, multiple failure domains and the processing time of routers
+// plain services, the cost of bytes between failure domains and the processing time of routers
 // and schedulers.
 package serving
--- a/internal/experiment/serving/experiment.go
+++ b/internal/experiment/serving/experiment.go
@@ -96,7 +96,12 @@
 
 // measure simulates one scenario with a strategy and returns its metrics.
 func measure(spec *deploymentSpec, s scenario, chosen strategy, seed uint64) metrics {
-	f, requests := simulate(spec, s, chosen, seed)
+	return summarize(simulate(spec, s, chosen, seed))
+}
+
+// summarize returns the metrics of a simulation.
+func summarize(f *fleet, requests []*request) metrics {
+	spec := f.spec
 	var m metrics
 	earned, offered := make(map[*class]float64), make(map[*class]float64)
 	for _, q := range requests {
--- a/internal/experiment/serving/fleet.go
+++ b/internal/experiment/serving/fleet.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/rendezvous"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/routing"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/spreading"
 )
 
 const (
@@ -32,19 +34,30 @@
 	// limits.
 	maxWaitFactor = 1.5
 	minMaxWait    = 400 * time.Millisecond
+	// pendingTTL is how long a router counts the prefill of a request that it sent. The router has the same limit.
+	pendingTTL     = 250 * time.Millisecond
+	sampleInterval = 100 * time.Millisecond
 )
 
 // node is an engine with its scheduler.
 type node struct {
-	id               catalog.EndpointID
-	engine           *engine
-	machine          *grants.Machine
-	snapshot         grants.Snapshot             // As the routers see it.
-	everResident     map[catalog.AdapterKey]bool // Adapters in any snapshot since the start or crash.
-	pendingLoads     []int                       // Since the snapshot, by router.
-	pendingPrefillMS []float64                   // Prefill time of the requests sent since the snapshot, by router.
-	waiting          map[grants.RequestID]*submission
-	running          map[grants.RequestID]*run
+	id           catalog.EndpointID
+	domain       string
+	engine       *engine
+	machine      *grants.Machine
+	snapshot     grants.Snapshot             // As the routers see it.
+	everResident map[catalog.AdapterKey]bool // Adapters in any snapshot since the start or crash.
+	snapshotAt   time.Duration               // When the snapshot was taken.
+	pending      [][]pendingSend             // Sent since the snapshot, by router.
+	waiting      map[grants.RequestID]*submission
+	running      map[grants.RequestID]*run
+}
+
+// pendingSend is a request that a router sent to an engine.
+type pendingSend struct {
+	at        time.Duration
+	prefillMS float64
+	loads     int
 }
 
 // submission is a submission of a request to a router.
@@ -64,6 +77,8 @@
 	nodes    []*node
 	lastID   grants.RequestID
 	config   routing.Config
+	rates    []spreading.Rate // Prefill time sent, by router.
+	evenness []float64        // Load of the busiest engine over the mean one, by sample.
 }
 
 // simulate runs a scenario with a strategy and returns the fleet and the requests
@@ -72,10 +87,12 @@
 	f := &fleet{
 		rng: rand.New(rand.NewPCG(seed, 1)), spec: spec, strategy: chosen,
 		store: weightStore{fullSpeedTransfers: spec.fullSpeedTransfers}, config: chosen.config(),
+		rates: make([]spreading.Rate, spec.routers),
 	}
 	for i := range spec.engines {
 		f.addNode(i)
 	}
+	f.sampleLoadPeriodically()
 	requests := arrivals(spec, s, seed)
 	for _, q := range requests {
 		f.clock.After(q.arrival, func() { f.submit(q) })
@@ -95,7 +112,7 @@
 	spec := f.spec
 	n := &node{
 		id: catalog.EndpointID(rune('A' + i)), machine: grants.New(grants.DefaultConfig()),
-		pendingLoads: make([]int, spec.routers), pendingPrefillMS: make([]float64, spec.routers),
+		domain: fmt.Sprint(spec.domain(i)), pending: make([][]pendingSend, spec.routers),
 		everResident: make(map[catalog.AdapterKey]bool),
 		waiting:      make(map[grants.RequestID]*submission), running: make(map[grants.RequestID]*run),
 	}
@@ -128,13 +145,41 @@
 // refreshSnapshotPeriodically updates the routers' snapshot of an engine now and
 // at each snapshotInterval.
 func (f *fleet) refreshSnapshotPeriodically(n *node) {
-	n.snapshot = n.machine.Snapshot(f.clock.Time())
+	taken, at := n.machine.Snapshot(f.clock.Time()), f.clock.Now()
+	if f.spec.reportEvery == 0 {
+		n.setSnapshot(taken, at)
+		f.clock.After(snapshotInterval, func() { f.refreshSnapshotPeriodically(n) })
+		return
+	}
+	if at == 0 || f.rng.Float64() >= f.spec.lostReports {
+		f.clock.After(f.spec.reportDelay, func() { n.setSnapshot(taken, at) })
+	}
+	f.clock.After(f.spec.reportEvery, func() { f.refreshSnapshotPeriodically(n) })
+}
+
+// setSnapshot shows the routers a snapshot taken at a time, and drops the pending requests that it includes.
+func (n *node) setSnapshot(s grants.Snapshot, takenAt time.Duration) {
+	n.snapshot, n.snapshotAt = s, takenAt
 	for _, a := range n.snapshot.Adapters {
 		n.everResident[catalog.AdapterKey{Model: a.Model, Adapter: a.Adapter}] = true
 	}
-	clear(n.pendingLoads)
-	clear(n.pendingPrefillMS)
-	f.clock.After(snapshotInterval, func() { f.refreshSnapshotPeriodically(n) })
+	for i := range n.pending {
+		n.pending[i] = slices.DeleteFunc(n.pending[i], func(p pendingSend) bool { return p.at <= takenAt })
+	}
+}
+
+// sampleLoadPeriodically records, each sampleInterval, the load of the busiest engine over the mean one. The load of an
+// engine is the number of its requests over its speed.
+func (f *fleet) sampleLoadPeriodically() {
+	sum, busiest := 0.0, 0.0
+	for _, n := range f.nodes {
+		load := float64(len(n.running)+len(n.waiting)) * n.engine.slowdown
+		sum, busiest = sum+load, max(busiest, load)
+	}
+	if mean := sum / float64(len(f.nodes)); mean >= 1 && f.clock.Now() < arrivalWindow {
+		f.evenness = append(f.evenness, busiest/mean)
+	}
+	f.clock.After(sampleInterval, f.sampleLoadPeriodically)
 }
 
 // crashEngines crashes every oneIn-th engine.
@@ -173,10 +218,12 @@
 	s.tried = append(s.tried, n.id)
 	f.lastID++
 	id := f.lastID
+	sent := pendingSend{at: f.clock.Now(), prefillMS: float64(q.promptTokens) / f.config.PrefillTokensPerMS}
 	if coldLoadTime > 0 {
-		n.pendingLoads[q.router]++
+		sent.loads = 1
 	}
-	n.pendingPrefillMS[q.router] += float64(q.promptTokens) / f.config.PrefillTokensPerMS
+	n.pending[q.router] = append(n.pending[q.router], sent)
+	f.rates[q.router].Add(sent.prefillMS, f.clock.Time())
 	waited := f.clock.Now() - q.arrival
 	maxWait := min(
 		max(time.Duration(maxWaitFactor*float64(q.class.latencyTarget))-waited, minMaxWait),
@@ -252,9 +299,15 @@
 func (f *fleet) candidates(s *submission) []routing.Engine {
 	out := make([]routing.Engine, 0, len(f.nodes))
 	for _, n := range f.nodes {
+		prefillMS, loads := 0.0, 0
+		for _, p := range n.pending[s.request.router] {
+			if f.spec.reportEvery == 0 || f.clock.Now()-p.at < pendingTTL {
+				prefillMS += p.prefillMS
+			}
+			loads += p.loads
+		}
 		out = append(out, routing.Engine{
-			ID: n.id, Snapshot: n.snapshot, SnapshotFresh: true,
-			PendingPrefillMS: n.pendingPrefillMS[s.request.router], PendingLoads: n.pendingLoads[s.request.router],
+			ID: n.id, FailureDomain: n.domain, Snapshot: n.snapshot, SnapshotFresh: true, SnapshotAge: f.clock.Now() - n.snapshotAt, PendingPrefillMS: prefillMS, PendingLoads: loads,
 			Cached: n.everResident[s.request.key], Tried: slices.Contains(s.tried, n.id),
 		})
 	}
@@ -275,9 +328,10 @@
 func (f *fleet) job(s *submission) routing.Job {
 	q := s.request
 	return routing.Job{
-		Key: q.key, Seed: rendezvous.Hash(q.id), Priority: q.class.priority, PromptTokens: q.promptTokens, SharedTokens: q.prefixTokens,
-		MeanEvents: q.class.outputTokens / float64(f.spec.tokensPerEvent),
-		Routers:    min(f.spec.routers, 4), MaxOnTimeWait: max(q.class.latencyTarget-(f.clock.Now()-q.arrival), minMaxWait),
+		Key: q.key, FailureDomain: fmt.Sprint(f.spec.domain(q.router)), Seed: rendezvous.Hash(q.id), Priority: q.class.priority, PromptTokens: q.promptTokens, SharedTokens: q.prefixTokens,
+		MeanEvents:        q.class.outputTokens / float64(f.spec.tokensPerEvent),
+		OthersPrefillRate: spreading.OthersRate(f.rates[q.router].PerMS(f.clock.Time()), f.spec.routers),
+		Routers:           min(f.spec.routers, 4), MaxOnTimeWait: max(q.class.latencyTarget-(f.clock.Now()-q.arrival), minMaxWait),
 	}
 }
 
--- a/internal/experiment/serving/workload.go
+++ b/internal/experiment/serving/workload.go
@@ -71,12 +71,25 @@
 			} else if s.shiftInterval > 0 {
 				rank = (rank + s.shiftRanks*int(arrival/s.shiftInterval)) % spec.adapters
 			}
-			requests = append(requests, newRequest(rng, spec, cls, arrival, adapterOfRank[rank], len(requests)))
+			q := newRequest(rng, spec, cls, arrival, adapterOfRank[rank], len(requests))
+			for spec.swing > 0 && rng.Float64()*(1+spec.swing) > spec.demandAt(q.router, arrival) {
+				q.router = rng.IntN(spec.routers)
+			}
+			requests = append(requests, q)
 		}
 	}
 	return requests
 }
 
+// demandAt returns the demand at a router as a multiple of its mean.
+func (d *deploymentSpec) demandAt(router int, t time.Duration) float64 {
+	phase := t.Seconds()/swingPeriod.Seconds() + float64(d.domain(router))/float64(max(d.domains, 1))
+	return 1 + d.swing*math.Sin(2*math.Pi*phase)
+}
+
+// domain returns the failure domain of the router or engine with a number.
+func (d *deploymentSpec) domain(number int) int { return number % max(d.domains, 1) }
+
 func newRequest(rng *rand.Rand, spec *deploymentSpec, c *class, arrival time.Duration, adapter, number int) *request {
 	own := c.ownTokens * math.Exp(c.ownSpread*rng.NormFloat64()-c.ownSpread*c.ownSpread/2)
 	return &request{
