routing: engines that are faster than normal get more of a busy service's requests

Cause: an engine with a slowdown below 1 counted as one of normal speed when requests are spread. Change: spreading uses the measured slowdown as the engine's speed. Costs keep max(Slowdown, 1) (Config.MinSlowdown), so that what is chosen in calm stays.

--- a/internal/policy/routing/engines.go
+++ b/internal/policy/routing/engines.go
@@ -38,7 +38,9 @@
 	MaxRandomCost      time.Duration
 	StaleSnapshotCost  time.Duration // Of an engine whose scheduler sends no snapshots.
 	PrefillTokensPerMS float64       // Prefill speed of an engine in tokens per millisecond, at normal speed.
-	MinSlowdown        float64       // Lowest slowdown that counts; engines that are faster than normal have one below 1.
+	// MinSlowdown is the lowest slowdown that costs are calculated with. Spreading uses the measured one, by which
+	// engines that are faster than normal get more requests.
+	MinSlowdown float64
 }
 
 // DefaultConfig returns the configuration for the engines of the platform.
@@ -281,13 +283,14 @@
 
 // evaluate returns the expected wait on an engine and its cost.
 func evaluate(c Config, job Job, e Engine, fleet fleetState) Choice {
-	slowdown := max(e.Snapshot.Slowdown, c.MinSlowdown)
-	if e.Snapshot.Slowdown <= 0 {
-		slowdown = 1 // No snapshot was received.
+	measured := e.Snapshot.Slowdown
+	if measured <= 0 {
+		measured = 1 // No snapshot was received.
 	}
+	slowdown := max(measured, c.MinSlowdown)
 	waitMS := float64(e.Snapshot.PrefillWaitMS[min(max(job.Priority, 0), grants.NumPriorities-1)])
 	wait := millis.Duration(waitMS + slowdown*e.PendingPrefillMS)
-	choice := Choice{ID: e.ID, Slowdown: slowdown, SnapshotAge: e.SnapshotAge, Resident: canRun(e, job.Key)}
+	choice := Choice{ID: e.ID, Slowdown: measured, SnapshotAge: e.SnapshotAge, Resident: canRun(e, job.Key)}
 	if len(e.Snapshot.Models) == 0 {
 		wait += 10 * c.ColdLoadTime // Loading a model takes seconds.
 	}
--- a/internal/policy/routing/spread_test.go
+++ b/internal/policy/routing/spread_test.go
@@ -43,3 +43,17 @@
 		}
 	}
 }
+
+// Guards against an engine that is faster than normal and counts as a normal one: with equal costs a busy service sends
+// it requests by its speed.
+func TestFasterEngineGetsMore(t *testing.T) {
+	engines := withHolders(12, 2, 4, 100)
+	engines[0].Snapshot.Slowdown = 0.75
+	for i := range engines {
+		engines[i].SnapshotAge = 500 * time.Millisecond
+	}
+	chosen := firstChoices(engines, 60)
+	if fast, normal := chosen["e0"], chosen["e1"]; float64(fast) < 1.2*float64(normal) || float64(fast) > 1.5*float64(normal) {
+		t.Errorf("requests to the engine with a slowdown of 0.75: %d, to a normal one: %d, want 1.2 to 1.5 times as many", fast, normal)
+	}
+}
