--- a/internal/router/plain.go
+++ b/internal/router/plain.go
@@ -45,8 +45,9 @@
 	now := time.Now()
 	list := q.permitted(r.eligible(v, q, now))
 	candidates := r.endpointTracker.plainCandidates(list, q.excludes, now)
+	othersRate := r.sendRates.others(q.service.Name, r.peers.Count(), now)
 	minWait := r.endpointTracker.minPushback(list, now)
-	for _, id := range routing.RankPlainEndpoints(r.settings.FailureDomain, candidates, rand.Float64) {
+	for _, id := range routing.RankPlainEndpoints(r.settings.FailureDomain, candidates, othersRate, rand.Float64) {
 		endpoint := v.FindEndpoint(q.service.Name, id)
 		if endpoint == nil {
 			continue
@@ -58,6 +59,7 @@
 			continue
 		}
 		if d.Admitted {
+			r.sendRates.add(q.service.Name, 1, now)
 			return &placement{endpoint: endpoint, software: endpoint.SoftwareVersion}, 0
 		}
 		if cold.Remaining > 0 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -61,6 +61,7 @@
 	schedulerConns  *schedulerConns
 	endpointTracker *endpointTracker
 	domains         *domains
+	sendRates       *sendRates
 	relays          *relay.Relays
 	changes         *relay.Server
 	peers           *quota.Peers
@@ -88,7 +89,7 @@
 func New(s Settings, log *logrus.Entry) *Router {
 	metrics := process.NewMetrics()
 	r := &Router{
-		settings: s, log: log, pool: upstream.NewPool(), endpointTracker: newEndpointTracker(), domains: newDomains(s),
+		settings: s, log: log, pool: upstream.NewPool(), endpointTracker: newEndpointTracker(), domains: newDomains(s), sendRates: newSendRates(),
 		streamLengths: newStreamLengths(), stopper: newStopper(s.ShutdownGrace), routing: routing.DefaultConfig(), metrics: metrics,
 		counters: NewCounters(metrics.Scope.SubScope("router")), state: catalog.NewState(),
 		store: platform.NewStoreClient(s.StoreAddress),
