--- a/internal/policy/routing/doc.go
+++ b/internal/policy/routing/doc.go
@@ -12,6 +12,8 @@
 //     that hold their adapter. A flash crowd then causes few loads.
 //   - When many rare adapters are requested at once, loads are limited to those
 //     that the weight store completes in time. The other requests are refused.
+//   - Routers that see the same old snapshots spread over the engines that hold the adapter, by the
+//     work that the others are expected to have sent since (package spreading).
 //   - An engine that fails while its health checks pass is avoided within a few
 //     requests.
 //
