routing: requests with the same shared prompt parts meet on one of the engines that hold their adapter

Change: where several engines hold the adapter, the one with the highest rendezvous score for the shared parts (1,000 tokens or more) goes first, and the others cost the prefill of these parts; all routers agree without a message, and a queue that takes longer is avoided.

--- a/internal/experiment/serving/fleet.go
+++ b/internal/experiment/serving/fleet.go
@@ -328,7 +328,7 @@
 func (f *fleet) job(s *submission) routing.Job {
 	q := s.request
 	return routing.Job{
-		Key: q.key, FailureDomain: fmt.Sprint(f.spec.domain(q.router)), Seed: rendezvous.Hash(q.id), Priority: q.class.priority, PromptTokens: q.promptTokens, SharedTokens: q.prefixTokens,
+		Key: q.key, FailureDomain: fmt.Sprint(f.spec.domain(q.router)), Seed: rendezvous.Hash(q.id), Priority: q.class.priority, PromptTokens: q.promptTokens, SharedTokens: q.prefixTokens, PrefixSeed: rendezvous.Hash(q.key.Adapter + "/" + q.prefix),
 		MeanEvents:        q.class.outputTokens / float64(f.spec.tokensPerEvent),
 		OthersPrefillRate: spreading.OthersRate(f.rates[q.router].PerMS(f.clock.Time()), f.spec.routers),
 		Routers:           min(f.spec.routers, 4), MaxOnTimeWait: max(q.class.latencyTarget-(f.clock.Now()-q.arrival), minMaxWait),
--- a/internal/policy/routing/engines.go
+++ b/internal/policy/routing/engines.go
@@ -94,6 +94,7 @@
 	Priority      int           // 0 is the most urgent.
 	PromptTokens  int           // Tokens of the prompt.
 	SharedTokens  int           // Prompt tokens that other requests share.
+	PrefixSeed    uint64        // Hash of the shared prompt parts; 0 if there are none.
 	MeanEvents    float64       // Mean number of events of such a stream.
 	Routers       int           // Routers that send to the engines, including this one; 0 counts as 1.
 	MaxOnTimeWait time.Duration // Wait above which the request misses its latency target; 0 if it has none.
@@ -203,6 +204,7 @@
 	resident     bool               // At least one engine can run the adapter without a load.
 	cached       bool               // At least one engine has the adapter cached on its host.
 	preferred    catalog.EndpointID // Set if no engine holds the adapter or has it cached.
+	prefixHome   catalog.EndpointID // Of several engines that hold the adapter, the one where requests with these parts meet; else "".
 }
 
 func summarizeFleet(c Config, job Job, engines []Engine) fleetState {
@@ -223,6 +225,9 @@
 	if !s.resident && !s.cached {
 		s.preferred = preferredEngine(job.Key, engines)
 	}
+	if s.holders > 1 && job.PrefixSeed != 0 {
+		s.prefixHome = prefixHome(job, engines)
+	}
 	fullSpeedLoads := max(float64(c.MinFullSpeedLoads), c.FullSpeedLoadsPerEngine*float64(len(engines)))
 	s.crowded = float64(loading) > c.CrowdedThreshold*fullSpeedLoads
 	maxLoads := c.MaxLoadFactorNew
@@ -259,6 +264,22 @@
 	return preferred
 }
 
+// prefixHome returns the engine with the highest rendezvous score for the shared parts of a job's prompt among those that hold
+// its adapter. All routers select the same one, so that the parts are prefilled there once.
+func prefixHome(job Job, engines []Engine) catalog.EndpointID {
+	var home catalog.EndpointID
+	best := uint64(0)
+	for _, e := range engines {
+		if e.Tried || !e.SnapshotFresh || !canRun(e, job.Key) || !servesModel(e, job.Key.Model) {
+			continue
+		}
+		if score := rendezvous.Score(job.PrefixSeed, rendezvous.Hash(string(e.ID))); score >= best {
+			best, home = score, e.ID
+		}
+	}
+	return home
+}
+
 // canRun reports whether an engine can run an adapter without a load.
 func canRun(e Engine, key catalog.AdapterKey) bool {
 	a := findAdapter(e.Snapshot, key)
@@ -298,9 +319,14 @@
 	if !choice.Resident && !e.Cached {
 		choice.ColdLoadTime, choice.LoadLimitExceeded = fleet.coldLoadTime, fleet.loadsAtLimit
 	}
-	if choice.Resident {
+	switch {
+	case choice.Resident && fleet.prefixHome != "":
+		if e.ID != fleet.prefixHome {
+			cost += millis.Duration(slowdown * float64(job.SharedTokens) / c.PrefillTokensPerMS)
+		}
+	case choice.Resident:
 		cost += time.Duration(randomShare(job.Seed, e.ID) * float64(c.MaxRandomCost))
-	} else {
+	default:
 		loadWait, loadCost := loadWaitAndCost(c, e, fleet)
 		wait = max(wait, loadWait)
 		cost += loadCost
--- a/internal/policy/routing/routing_test.go
+++ b/internal/policy/routing/routing_test.go
@@ -108,6 +108,39 @@
 	}
 }
 
+// Guards against a popular prompt that is prefilled on every engine that holds its adapter: requests with the same parts meet on
+// one of them, those with other parts are spread, and a queue that takes longer than the prefill is avoided.
+func TestRequestsWithSharedPartsMeet(t *testing.T) {
+	engines := fleet(6)
+	for i := range 4 {
+		addAdapter(&engines[i], key(1))
+	}
+	homes := make(map[catalog.EndpointID]int)
+	for prefix := range uint64(40) {
+		job := Job{Key: key(1), FailureDomain: "a", PromptTokens: 9000, SharedTokens: 6400, PrefixSeed: 1 + prefix*0x9e3779b97f4a7c15}
+		job.Seed = 1
+		home := Rank(config, job, engines)[0].ID
+		for job.Seed = range uint64(20) {
+			if got := Rank(config, job, engines)[0].ID; got != home {
+				t.Fatalf("prefix %d: requests go to %s and %s", prefix, home, got)
+			}
+		}
+		homes[home]++
+		busy := append([]Engine{}, engines...)
+		for i := range busy {
+			if busy[i].ID == home {
+				busy[i].Snapshot.PrefillWaitMS[0] = 300 // The shared parts take 200 ms.
+			}
+		}
+		if got := Rank(config, job, busy)[0].ID; got == home {
+			t.Errorf("prefix %d: a queue of 300 ms is not avoided", prefix)
+		}
+	}
+	if len(homes) != 4 {
+		t.Errorf("40 prefixes meet on %d of 4 engines that hold the adapter", len(homes))
+	}
+}
+
 // When many rare adapters are requested at once, a load that would slow down those in
 // progress too much is not started. Loads that the snapshots do not show yet count
 // too. Engines that hold the adapter or have it cached are not affected. An adapter
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"strings"
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
@@ -91,7 +92,7 @@
 func (r *Router) job(q *request, now time.Time) routing.Job {
 	return routing.Job{
 		Key: q.call.Adapter, FailureDomain: r.settings.FailureDomain, Seed: rendezvous.Hash(q.call.RequestID), Priority: q.priority(), PromptTokens: q.call.PromptTokens,
-		SharedTokens: q.sharedTokens(), MeanEvents: r.streamLengths.expected(q.route.Name),
+		SharedTokens: q.sharedTokens(), PrefixSeed: q.prefixSeed(), MeanEvents: r.streamLengths.expected(q.route.Name),
 		OthersPrefillRate: r.sendRates.others(q.service.Name, r.peers.Count(), now),
 		Routers:           min(r.peers.Count(), maxLoadingRouters), MaxOnTimeWait: q.onTimeWait(now),
 	}
@@ -202,6 +203,18 @@
 	return shared
 }
 
+// minAffinityTokens is the number of shared prompt tokens from which requests with the same parts are sent to the same engine.
+// Fewer are prefilled in a few milliseconds.
+const minAffinityTokens = 1000
+
+// prefixSeed returns a hash of the shared prompt parts, 0 if they are short.
+func (q *request) prefixSeed() uint64 {
+	if q.sharedTokens() < minAffinityTokens {
+		return 0
+	}
+	return max(rendezvous.Hash(q.call.Adapter.Model+"/"+q.call.Adapter.Adapter+"/"+strings.Join(q.sharedParts(), ",")), 1)
+}
+
 // engineSilenceLimit returns how long an engine may send nothing, before the first event and
 // between events, before another engine is tried. It returns 0 (no limit) if the request must
 // not run again.
