--- a/review/driver2/head.go
+++ b/review/driver2/head.go
@@ -89,7 +89,7 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(25 * time.Millisecond):
+			case <-time.After(20 * time.Millisecond):
 			}
 			go func() {
 				res := c.do(front.front(), call{path: "/hours/x", method: http.MethodGet, limit: 4 * time.Second})
--- a/review/driver2/runner.go
+++ b/review/driver2/runner.go
@@ -26,7 +26,7 @@
 	plainSlots         = 6
 	plainQueue         = 24
 	plainWork          = 60 * time.Millisecond
-	hoursWork          = 200 * time.Millisecond
+	hoursWork          = 400 * time.Millisecond
 )
 
 // runner is a stand-in of a runner: a model engine or an instance of a plain service.
