--- a/review/driver2/head.go
+++ b/review/driver2/head.go
@@ -115,8 +115,7 @@
 		setEndless(true)
 	}
 	for i := range 8 {
-		if i == 6 && f.trouble {
-			time.Sleep(500 * time.Millisecond)
+		if i == 4 && f.trouble {
 			setEndless(false)
 		}
 		time.Sleep(time.Second)
