Review: case 10, prompts of many parts make schedulers exceed their memory

Cause: the prompt cache of a scheduler is bounded by tokens, not by bytes, and the key of each part holds the ids of all parts before it. A prompt of 1,420 parts takes 9 MB.

Change: case 10, a script. Requests with prompts of 1,420 short parts, inside the limit of the header; the platform of the test ends a scheduler that exceeds its 216 MB.

--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -18,6 +18,7 @@
 	"version-slow": versionSlow,
 	"parts-kill":   partsKill,
 	"parts-cut":    partsCut,
+	"long-prompts": longPrompts,
 	"endless-head": endlessHead,
 }
 
