--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 for program in hyssop-router hyssop-scheduler review-driver2; do
   [ -x "target/$program" ] || { echo "target/$program is missing"; exit 2; }
 done
-exec target/review-driver2 parts-kill "$here/record.txt"
+exec target/review-driver2 parts-cut "$here/record.txt"
