--- a/review/driver2/parts.go
+++ b/review/driver2/parts.go
@@ -154,14 +154,14 @@
 	f.judgeParts(w, time.Time{}, func(string) bool { return true })
 }
 
-// missedPart disrupts the second router while the first one finds a part that crashes runners, ends the disruption, and sends
-// requests with the part to the second router once it is in touch again.
-func (f *fleet) missedPart(fronts []*proc, llms []*runner, disrupt, heal func()) {
+// missedPart disrupts a router while the others find a part that crashes runners, ends the disruption, and sends requests with the
+// part to that router once it is in touch again.
+func (f *fleet) missedPart(disrupted *proc, others []*proc, llms []*runner, disrupt, heal func()) {
 	w := f.watchPart(llms)
 	c := newClient()
-	f.wait("the adapter is loaded", 10*time.Second, func() bool { return c.do(fronts[0].front(), sound()).whole })
+	f.wait("the adapter is loaded", 10*time.Second, func() bool { return c.do(others[0].front(), sound()).whole })
 	stop := make(chan struct{})
-	go f.traffic(fronts[:1], 500*time.Millisecond, stop, sound)
+	go f.traffic(others, 500*time.Millisecond, stop, sound)
 	time.Sleep(4 * time.Second)
 	sent := make(map[string]time.Time)
 	if f.trouble {
@@ -169,15 +169,15 @@
 	}
 	began := time.Now()
 	time.Sleep(2300 * time.Millisecond)
-	f.sendBad(c, fronts[:1], 300*time.Millisecond, 9500*time.Millisecond, sent, func() bool { return false })
+	f.sendBad(c, others, 300*time.Millisecond, 9500*time.Millisecond, sent, func() bool { return false })
 	time.Sleep(time.Until(began.Add(12 * time.Second)))
 	if f.trouble {
 		heal()
 	}
-	f.log("%d crashes; the part goes on to be sent to front-1", w.crashed())
-	f.sendBad(c, fronts[:1], 700*time.Millisecond, contact+3*time.Second, sent, func() bool { return false })
-	f.log("the part is sent to front-2")
-	f.sendBad(c, fronts[1:], 700*time.Millisecond, 16*time.Second, sent, func() bool { return false })
+	f.log("%d crashes; the part goes on to be sent to the others", w.crashed())
+	f.sendBad(c, others, 700*time.Millisecond, contact+3*time.Second, sent, func() bool { return false })
+	f.log("the part is sent to %s", disrupted.name)
+	f.sendBad(c, []*proc{disrupted}, 700*time.Millisecond, 16*time.Second, sent, func() bool { return false })
 	close(stop)
 	f.judgeParts(w, time.Time{}, func(string) bool { return true })
 }
