upstream: a response without a length that ends while its request is sent is broken

Callers got a part of a body as a complete response with status 200: an endpoint answered a long upload at once, without a length, sent part of the body and reset the connection while the upload went on.

Cause: the end of the connection was taken as the end of the body. A reset sets one error on the socket, which goes to whichever call asks first. If that is the write of the request, the next read returns the regular end of the stream. exchange.send kept the error of the write, but only the reuse of the connection looked at it.

Change: the end of a connection shows the end of a body without a length only once the whole request was sent without an error. Any write that can have taken the error of the reset is part of that sending, so none goes unnoticed. The end waits for the sending for one second at most, as an endpoint may have ended its side and still read. Bodies with a length or chunks state their own end and are delivered as before.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -51,7 +51,7 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Body   io.Reader // Read returns ErrConnectionBroken if the body ends early.
+	Body   io.Reader // Read returns ErrConnectionBroken if the body ends early, or if its end is no evidence that it is complete.
 	Named  bool      // The response names the request.
 	Reused bool      // The connection carried other requests before.
 
@@ -263,6 +263,9 @@
 	n, err := b.x.resp.Body.Read(p)
 	switch {
 	case err == io.EOF:
+		if err := b.x.verifyEnd(); err != nil {
+			return n, errors.WithType(err, ErrConnectionBroken)
+		}
 		b.x.bodyComplete = true
 	case err != nil:
 		err = errors.WithType(err, ErrConnectionBroken)
@@ -270,6 +273,28 @@
 	return n, err
 }
 
+// endOfSendTimeout bounds how long the end of a response waits until its request has been sent.
+const endOfSendTimeout = time.Second
+
+// errNotSentWhole reports a response without a length whose connection ended before its request was sent.
+const errNotSentWhole = errors.ConstError("response without a length ended before its request was sent")
+
+// verifyEnd returns an error if the end of the connection is no evidence that the body is complete: the request could
+// not be sent. A write that fails takes the error of a reset connection, and the next read reports a regular end.
+func (x *exchange) verifyEnd() error {
+	if selfDelimited(x.resp) {
+		return nil
+	}
+	timeout := time.NewTimer(endOfSendTimeout)
+	defer timeout.Stop()
+	select {
+	case <-x.sent:
+		return x.sendErr
+	case <-timeout.C:
+		return errNotSentWhole
+	}
+}
+
 // SelfDelimited reports whether the response has a length or is chunked. Otherwise its end is that of the
 // connection, which also ends if the endpoint crashes.
 func (r *Response) SelfDelimited() bool { return selfDelimited(r.exchange.resp) }
