upstream: a response with an invalid status is malformed

A caller whose endpoint sent the status 000 got nothing until its time was over, then 504. With a status of 600 or more it got that status as an answer.

Cause: net/http accepts any three characters that make a number of at least 0 as a status, and readHead skipped what is below 200 as informational. It then read the body as the beginning of the next head.

Change: the new package responsehead checks the bytes of heads before net/http parses them, and upstream reads each head through it: those after informational and after skipped responses too. A status is three digits from 100 to 599. 101 is malformed as well, since no request asks for another protocol. The connection ends at once, and the request may have run: 502, or the next endpoint for what may run again.

--- /dev/null
+++ b/internal/responsehead/responsehead_test.go
@@ -0,0 +1,46 @@
+package responsehead
+
+import (
+	"errors"
+	"testing"
+)
+
+// check passes a head to a Checker, in pieces of the given size.
+func check(head string, size int) error {
+	var c Checker
+	for len(head) > 0 {
+		n := min(size, len(head))
+		if err := c.Check([]byte(head[:n])); err != nil {
+			return err
+		}
+		head = head[n:]
+	}
+	return nil
+}
+
+// expect checks heads as a whole and byte by byte.
+func expect(t *testing.T, want error, heads ...string) {
+	t.Helper()
+	for _, head := range heads {
+		for _, size := range []int{1, len(head)} {
+			if err := check(head, size); !errors.Is(err, want) {
+				t.Errorf("head %q in pieces of %d: error %v, want %v", head, size, err, want)
+			}
+		}
+	}
+}
+
+const fields = "Id: 1\r\nContent-Length: 4\r\n\r\n"
+
+func TestStatusLines(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.0 503 Busy", "HTTP/1.1 200", "HTTP/1.1 599 ", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 404 No"} {
+		expect(t, nil, line+"\r\n"+fields+"\x00 any body")
+	}
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 20 OK",
+		"HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -00 OK", "HTTQ/1.1 200 OK", "HTTP/2.0 200 OK", "", "HTTP/1.1",
+		"HTTP/1.1 200\tOK", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 000 OK",
+	} {
+		expect(t, ErrStatusLine, line+"\r\n"+fields)
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -152,8 +152,10 @@
 // (1xx) responses and responses of earlier requests.
 func (x *exchange) readHead(r *Request) (*http.Response, error) {
 	method := &http.Request{Method: r.Method}
-	x.conn.limit.left = maxHeadBytes
-	defer func() { x.conn.limit.left = math.MaxInt64 }() // The reader of the body has its own bounds.
+	defer func() { x.conn.head.left = math.MaxInt64 }() // The reader of the body has its own bounds.
+	if err := x.beginHead(); err != nil {
+		return nil, err
+	}
 	for {
 		resp, err := http.ReadResponse(x.conn.br, method)
 		if err != nil {
@@ -181,14 +183,22 @@
 			x.unnamed = true
 			return resp, nil
 		}
-		x.conn.limit.left = math.MaxInt64
+		x.conn.head.left = math.MaxInt64
 		if err := x.skipResponse(resp); err != nil {
 			return nil, err
 		}
-		x.conn.limit.left = maxHeadBytes
+		if err := x.beginHead(); err != nil {
+			return nil, err
+		}
 	}
 }
 
+// beginHead expects the head of a response on the connection.
+func (x *exchange) beginHead() error {
+	buffered, _ := x.conn.br.Peek(x.conn.br.Buffered()) // Cannot fail.
+	return x.conn.head.begin(buffered)
+}
+
 // errMergedHeads reports a head that begins as one response and goes on as another.
 const errMergedHeads = errors.ConstError("malformed response: the head holds another status line")
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -17,6 +17,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/responsehead"
 	"github.com/hyssoptiller/hyssoptiller/internal/sockopt"
 )
 
@@ -76,7 +77,7 @@
 type conn struct {
 	net.Conn
 	br          *bufio.Reader
-	limit       *readLimit    // What br reads from.
+	head        *headReader   // What br reads from.
 	idleTimeout time.Duration // The connection is not reused after this idle time.
 	idleSince   time.Time
 	requests    int        // Requests that were sent on the connection.
@@ -133,26 +134,37 @@
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	limit := &readLimit{r: raw, left: math.MaxInt64}
-	return &conn{Conn: raw, br: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, idleTimeout: defaultIdleTimeout}, nil
+	head := &headReader{r: raw, left: math.MaxInt64}
+	return &conn{Conn: raw, br: bufio.NewReaderSize(head, readBufferBytes), head: head, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // errHeadTooLong reports a response whose head exceeds maxHeadBytes.
 const errHeadTooLong = errors.ConstError("malformed response: head too long")
 
-// readLimit bounds the bytes that are read while a head is parsed.
-type readLimit struct {
-	r    io.Reader
-	left int64
+// headReader bounds and checks the heads of responses while they are read.
+type headReader struct {
+	r     io.Reader
+	left  int64 // Bytes that may still be read.
+	check responsehead.Checker
+}
+
+// begin expects a head. buffered holds the bytes of it that were read together with the response before.
+func (h *headReader) begin(buffered []byte) error {
+	h.left = maxHeadBytes
+	h.check.Reset()
+	return h.check.Check(buffered)
 }
 
 // Read implements io.Reader.
-func (l *readLimit) Read(p []byte) (int, error) {
-	if l.left <= 0 {
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.left <= 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := l.r.Read(p[:min(int64(len(p)), l.left)])
-	l.left -= int64(n)
+	n, err := h.r.Read(p[:min(int64(len(p)), h.left)])
+	h.left -= int64(n)
+	if invalid := h.check.Check(p[:n]); invalid != nil {
+		return 0, invalid
+	}
 	return n, err
 }
 
