upstream: a response whose head has an invalid field is malformed

Callers got responses in whose head the name of a field held a blank or a control character: without that line, with another signature, or with a body that held the rest of the head.

Cause: net/http takes a name with a blank as it stands, and leaves it out when it writes the head. If the name was that of the length or of the chunks, the body went on to the end of the connection. A line that begins with a blank or a tab was added to the value of the line before, the signature for instance. A line feed alone ended a line, so one at the beginning of a name ended the head.

Other control characters in names were rejected before, by net/http.

Change: responsehead requires that each line of a head ends with CR LF, that a name is a token directly followed by a colon, and that no line begins with a blank. RFC 9112 permits to reject the first and the last (sections 2.2, 5.2). It asks proxies to remove a blank between a name and its colon (5.1); here it is a sign of damage, and a name without it may not be the one that was sent. The check sees the bytes, so nothing depends on what net/http makes of them.

--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -1,17 +1,30 @@
 package responsehead
 
-import "github.com/juju/errors"
+import (
+	"strings"
 
-// ErrStatusLine means that a response does not begin with a valid status line. Informational responses (1xx) are valid
-// before the final one; 101 is not, since no request asks for another protocol.
-const ErrStatusLine = errors.ConstError("malformed response: invalid status line")
+	"github.com/juju/errors"
+)
+
+// Errors of Checker.Check.
+const (
+	// ErrStatusLine means that a response does not begin with a valid status line. Informational responses (1xx) are
+	// valid before the final one; 101 is not, since no request asks for another protocol.
+	ErrStatusLine = errors.ConstError("malformed response: invalid status line")
+	// ErrField means that a line of the head has no name, one that is no token, or a value with control characters.
+	// A line that begins with a blank, which once continued the line before, is such a line.
+	ErrField = errors.ConstError("malformed response: invalid header field")
+	// ErrLineEnd means that a line of the head does not end with CR LF.
+	ErrLineEnd = errors.ConstError("malformed response: line without CR LF")
+)
 
 // Checker checks the head of a response with the informational responses before it. Its zero value expects the first
 // byte of a status line.
 type Checker struct {
 	state  state
-	column int // Bytes of the current line.
+	column int // Bytes of the current line, without its end.
 	status int
+	cr     bool // The last byte was CR.
 }
 
 // state is what the next byte belongs to.
@@ -19,7 +32,8 @@
 
 const (
 	inStatusLine state = iota
-	inField
+	inName
+	inValue
 	afterHead
 )
 
@@ -41,32 +55,63 @@
 
 // next checks one byte.
 func (c *Checker) next(b byte) error {
+	if c.cr != (b == '\n') {
+		return ErrLineEnd
+	}
 	if b == '\n' {
+		c.cr = false
 		return c.endLine()
 	}
-	if c.state == inStatusLine && !c.validStatusByte(b) {
-		return ErrStatusLine
+	if b == '\r' {
+		c.cr = true
+		return nil
 	}
-	if b != '\r' || c.state == inStatusLine {
-		c.column++
+	if err := c.checkInLine(b); err != nil {
+		return err
 	}
+	c.column++
 	return nil
 }
 
+// checkInLine checks a byte other than the end of a line.
+func (c *Checker) checkInLine(b byte) error {
+	switch {
+	case c.state == inStatusLine && !c.validStatusByte(b):
+		return ErrStatusLine
+	case c.state == inName && b == ':' && c.column > 0:
+		c.state = inValue
+	case c.state == inName && !isToken(b):
+		return ErrField
+	case c.state == inValue && isControl(b):
+		return ErrField
+	}
+	return nil
+}
+
+// isToken reports whether b may be in a token (RFC 9110, section 5.6.2).
+func isToken(b byte) bool {
+	return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
+// isControl reports whether b is a control character that no value may have.
+func isControl(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }
+
 // statusLine is the form of the beginning of a status line, in which 0 stands for a digit.
 const statusLine = "HTTP/1.0 000"
 
 // validStatusByte reports whether a status line may have b at the current column. It sets the status.
 func (c *Checker) validStatusByte(b byte) bool {
 	switch {
-	case c.column >= len(statusLine):
-		return c.validStatus() && (c.column > len(statusLine) || b == ' ' || b == '\r')
+	case c.column == len(statusLine):
+		return b == ' '
+	case c.column > len(statusLine):
+		return !isControl(b)
 	case statusLine[c.column] != '0':
 		return b == statusLine[c.column]
-	case c.column > len("HTTP/1.0 "):
-		c.status = 10*c.status + int(b-'0')
 	case c.column == len("HTTP/1.0 "):
 		c.status = int(b - '0')
+	case c.column > len("HTTP/1.0 "):
+		c.status = 10*c.status + int(b-'0')
 	}
 	return b >= '0' && b <= '9'
 }
@@ -79,12 +124,14 @@
 	switch {
 	case c.state == inStatusLine && (c.column < len(statusLine) || !c.validStatus()):
 		return ErrStatusLine
-	case c.state == inStatusLine:
-		c.state = inField
-	case c.column == 0 && c.status < 200:
-		c.state = inStatusLine
-	case c.column == 0:
+	case c.state == inName && c.column > 0:
+		return ErrField
+	case c.state == inName && c.status >= 200:
 		c.state = afterHead
+	case c.state == inName:
+		c.state = inStatusLine
+	default:
+		c.state = inName
 	}
 	c.column = 0
 	return nil
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 )
 
@@ -44,3 +45,30 @@
 		expect(t, ErrStatusLine, line+"\r\n"+fields)
 	}
 }
+
+func TestFields(t *testing.T) {
+	head := func(line string) string { return "HTTP/1.1 200 OK\r\nId: 1\r\n" + line + "\r\n" + fields }
+	for _, line := range []string{"X-A: b c", "x!#$%&'*+-.^_`|~9:", "X-A:\tb: c\xff "} {
+		expect(t, nil, head(line))
+	}
+	for b := range 256 { // At the beginning, in the middle and at the end of a name.
+		valid := b > ' ' && b <= '~' && !strings.ContainsRune("\"(),/:;<=>?@[\\]{}", rune(b))
+		for _, line := range []string{string([]byte{byte(b)}) + "engine: x", "eng" + string([]byte{byte(b)}) + "ine: x", "engine" + string([]byte{byte(b)}) + ": x"} {
+			err := check(head(line), 1)
+			if b == ':' && line[0] != ':' {
+				continue // It ends the name.
+			}
+			if valid != (err == nil) {
+				t.Errorf("line %q: error %v, want one: %t", line, err, !valid)
+			}
+		}
+	}
+	for _, line := range []string{": no name", "no colon", "X-A: b\r\n continued", "X-A: b\r\n\tcontinued", "X-A: b\x00", "X-A: b\x7f"} {
+		expect(t, ErrField, head(line))
+	}
+	for _, line := range []string{"X-A: b\nX-C: d", "X-A: b\rc", "\nX-A: b", "X-A: b\r\r"} {
+		expect(t, ErrLineEnd, head(line))
+	}
+	expect(t, ErrLineEnd, "HTTP/1.1 200 OK\nId: 1\n\n")
+	expect(t, ErrStatusLine, "HTTP/1.1 200 O\x00K\r\n\r\n")
+}
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -53,3 +53,14 @@
 		expectMalformed(t, "HTTP/1.1 "+status+"\r\nId: 2\r\nContent-Length: 4\r\n\r\nbody")
 	}
 }
+
+// Lines whose name holds a blank were left out of what callers got, with the length or the signature if it was theirs; a
+// line feed at the beginning of a name ended the head, and the rest of it became a part of the body.
+func TestInvalidFieldIsNoResponse(t *testing.T) {
+	for _, line := range []string{
+		"X Own: x", "X-Own : x", " X-Own: x", "\tX-Own: x", "X-Own\t: x", "X\x00Own: x", "X\x7fOwn: x", "X\nOwn: x", "\nX-Own: x", "\rX-Own: x",
+		"X\rOwn: x", ": x", "X-Own: x\n", "X-Own: \x01",
+	} {
+		expectMalformed(t, "HTTP/1.1 200 OK\r\nId: 2\r\n"+line+"\r\nContent-Length: 4\r\n\r\nbody")
+	}
+}
