upstream: heads of responses are bounded in lines and to 64 KB

Requests of other clients ended without an answer: endpoints sent heads without end, the router exceeded the memory of its VM, and the platform ended it.

Cause: a head was bounded to 1 MB of bytes. Lines of a few bytes take many times their length once net/http has parsed them, for as long as the request waits, and no budget counts heads.

Change: responsehead ends a head beyond 64 KB or 256 lines, together with the informational responses before it, before net/http sees the bytes. The bound of 1 MB in upstream is gone.

Bodies, chunks, trailers and lines of streams without end were bounded before: the test passes for them without the change, and stays.

The bounds of TestEndlessHeadIsBounded are the same numbers of bytes as before, now written out, since they would follow the smaller constant otherwise.

--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -16,6 +16,15 @@
 	ErrField = errors.ConstError("malformed response: invalid header field")
 	// ErrLineEnd means that a line of the head does not end with CR LF.
 	ErrLineEnd = errors.ConstError("malformed response: line without CR LF")
+	// ErrTooLarge means that a head exceeds MaxBytes or MaxLines.
+	ErrTooLarge = errors.ConstError("malformed response: head too large")
+)
+
+// Bounds of a head together with the informational responses before it. A parsed line takes some 150 bytes of memory
+// besides its text, however short it is.
+const (
+	MaxBytes = 64 << 10
+	MaxLines = 256
 )
 
 // Checker checks the head of a response with the informational responses before it. Its zero value expects the first
@@ -25,6 +34,8 @@
 	column int // Bytes of the current line, without its end.
 	status int
 	cr     bool // The last byte was CR.
+	bytes  int
+	lines  int
 }
 
 // state is what the next byte belongs to.
@@ -55,6 +66,9 @@
 
 // next checks one byte.
 func (c *Checker) next(b byte) error {
+	if c.bytes++; c.bytes > MaxBytes || c.lines >= MaxLines {
+		return ErrTooLarge
+	}
 	if c.cr != (b == '\n') {
 		return ErrLineEnd
 	}
@@ -134,5 +148,6 @@
 		c.state = inName
 	}
 	c.column = 0
+	c.lines++
 	return nil
 }
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -72,3 +72,14 @@
 	expect(t, ErrLineEnd, "HTTP/1.1 200 OK\nId: 1\n\n")
 	expect(t, ErrStatusLine, "HTTP/1.1 200 O\x00K\r\n\r\n")
 }
+
+// Heads are bounded in bytes and in lines, together with the informational responses before them.
+func TestBounds(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\n"
+	lines := func(n int) string { return strings.Repeat("a:\r\n", n) + "\r\n" }
+	expect(t, nil, begin+lines(MaxLines-2)+strings.Repeat("any body", MaxBytes))
+	expect(t, nil, begin+"a:"+strings.Repeat("b", MaxBytes-len(begin)-len("a:\r\n\r\n"))+"\r\n\r\n")
+	expect(t, ErrTooLarge, begin+lines(MaxLines-1))
+	expect(t, ErrTooLarge, begin+"a:"+strings.Repeat("b", MaxBytes-len(begin)-len("a:\r\n\r\n")+1)+"\r\n\r\n")
+	expect(t, ErrTooLarge, strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", MaxLines/2)+begin)
+}
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// maxSentBytes is what an endpoint may send before its exchange ends.
+const maxSentBytes = 32 << 20
+
 // An endpoint sends bytes without end that are no response, in a head or before the status line. The
 // exchange ends after a bounded number of bytes, long before the caller's time is up, and the
 // connection is closed. Before, the head was read into memory until then.
@@ -18,6 +21,7 @@
 	line := strings.Repeat("X-Filler: "+strings.Repeat("x", 1000)+"\r\n", 100)
 	for name, tc := range map[string]struct{ begin, repeat string }{
 		"header lines":            {"HTTP/1.1 200 OK\r\n", line},
+		"short header lines":      {"HTTP/1.1 200 OK\r\n", strings.Repeat("a:\r\n", 25_000)},
 		"one header line":         {"HTTP/1.1 200 OK\r\nX: ", strings.Repeat("x", 100_000)},
 		"status line":             {"HTTP/1.1 200 ", strings.Repeat("x", 100_000)},
 		"informational responses": {"", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000)},
@@ -25,7 +29,7 @@
 	} {
 		var sent atomic.Int64
 		address, _ := serve(t, func(c net.Conn, _ *http.Request, _ int) bool {
-			for ok := write(c, tc.begin); ok && sent.Load() < 64*maxHeadBytes; ok = write(c, tc.repeat) {
+			for ok := write(c, tc.begin); ok && sent.Load() < 2*maxSentBytes; ok = write(c, tc.repeat) {
 				sent.Add(int64(len(tc.repeat)))
 			}
 			return false
@@ -38,8 +42,8 @@
 			t.Errorf("%s: error = %v, want ErrMalformedResponse or ErrConnectionBroken", name, err)
 		}
 		// Socket buffers hold some more bytes than were read.
-		if sent.Load() > 32*maxHeadBytes || time.Since(began) > 10*time.Second {
-			t.Errorf("%s: gave up after %d bytes and %s, want at most %d bytes", name, sent.Load(), time.Since(began), 32*maxHeadBytes)
+		if sent.Load() > maxSentBytes || time.Since(began) > 10*time.Second {
+			t.Errorf("%s: gave up after %d bytes and %s, want at most %d bytes", name, sent.Load(), time.Since(began), maxSentBytes)
 		}
 	}
 }
@@ -51,7 +55,7 @@
 		return write(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 300000\r\n\r\n"+body)
 	})
 	p := NewPool()
-	for range 8 { // Together more than maxHeadBytes.
+	for range 8 { // Each of more than responsehead.MaxBytes.
 		r, err := p.Do(context.Background(), address, newRequest("1"), time.Second)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"regexp"
@@ -152,7 +151,6 @@
 // (1xx) responses and responses of earlier requests.
 func (x *exchange) readHead(r *Request) (*http.Response, error) {
 	method := &http.Request{Method: r.Method}
-	defer func() { x.conn.head.left = math.MaxInt64 }() // The reader of the body has its own bounds.
 	if err := x.beginHead(); err != nil {
 		return nil, err
 	}
@@ -183,7 +181,6 @@
 			x.unnamed = true
 			return resp, nil
 		}
-		x.conn.head.left = math.MaxInt64
 		if err := x.skipResponse(resp); err != nil {
 			return nil, err
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"maps"
-	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -55,9 +54,6 @@
 	unnamedRetention  = time.Minute
 	readBufferBytes   = 8 << 10
 	maxIdlePerAddress = 16
-	// maxHeadBytes bounds the head of a response with the informational responses before it. Go's servers
-	// accept request heads of up to 1 MB.
-	maxHeadBytes = 1 << 20
 )
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
@@ -134,34 +130,25 @@
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	head := &headReader{r: raw, left: math.MaxInt64}
+	head := &headReader{r: raw}
 	return &conn{Conn: raw, br: bufio.NewReaderSize(head, readBufferBytes), head: head, idleTimeout: defaultIdleTimeout}, nil
 }
 
-// errHeadTooLong reports a response whose head exceeds maxHeadBytes.
-const errHeadTooLong = errors.ConstError("malformed response: head too long")
-
-// headReader bounds and checks the heads of responses while they are read.
+// headReader checks the heads of responses while they are read.
 type headReader struct {
 	r     io.Reader
-	left  int64 // Bytes that may still be read.
 	check responsehead.Checker
 }
 
 // begin expects a head. buffered holds the bytes of it that were read together with the response before.
 func (h *headReader) begin(buffered []byte) error {
-	h.left = maxHeadBytes
 	h.check.Reset()
 	return h.check.Check(buffered)
 }
 
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (int, error) {
-	if h.left <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := h.r.Read(p[:min(int64(len(p)), h.left)])
-	h.left -= int64(n)
+	n, err := h.r.Read(p)
 	if invalid := h.check.Check(p[:n]); invalid != nil {
 		return 0, invalid
 	}
