--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -20,8 +20,8 @@
 	ErrTooLarge = errors.ConstError("malformed response: head too large")
 )
 
-// Bounds of a head together with the informational responses before it. A parsed line takes some 150 bytes of memory
-// besides its text, however short it is.
+// Bounds of a head together with the informational responses before it. Parsed lines of a few bytes with names of
+// their own take 100 bytes of memory each.
 const (
 	MaxBytes = 64 << 10
 	MaxLines = 256
@@ -51,6 +51,9 @@
 // Reset makes the Checker expect another head.
 func (c *Checker) Reset() { *c = Checker{} }
 
+// Complete reports whether the whole head was checked.
+func (c *Checker) Complete() bool { return c.state == afterHead }
+
 // Check checks the next bytes of a response. It ignores those that follow the head.
 func (c *Checker) Check(p []byte) error {
 	for _, b := range p {
