httpclient: a body beyond its bound is no response

A scheduler took an order for carried out, accepted or rejected, and a router a lease for renewed, a record for stored and a peer for alive, although the body of the response went on without end.

Cause: bodies were cut at their bound by io.LimitReader, without an error. A call whose result is the status alone then looked complete.

Change: httpclient.ReadBody returns an error in place of the beginning of such a body.

--- a/internal/quota/peers.go
+++ b/internal/quota/peers.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -17,6 +16,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/httpclient"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/rendezvous"
 	"github.com/hyssoptiller/hyssoptiller/internal/sleep"
 )
@@ -515,7 +515,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	body, err := httpclient.ReadBody(resp.Body, maxReplyBytes)
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = errors.Errorf("POST %s of router %s: status %d", path, to.VM, resp.StatusCode)
 	}
--- a/internal/schedulerapi/schedulerapi.go
+++ b/internal/schedulerapi/schedulerapi.go
@@ -8,12 +8,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/httpclient"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
 )
@@ -140,7 +140,7 @@
 		return nil, errors.WithType(err, ErrNoResponse)
 	}
 	defer resp.Body.Close()
-	reply, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes))
+	reply, err := httpclient.ReadBody(resp.Body, maxBytes)
 	if err != nil {
 		return nil, errors.WithType(err, ErrNoResponse)
 	}
