clients/engine: broken responses of engines and services are no response

An agent took an engine whose health check had the status 000, a damaged head or a body without end for healthy, and an order with such a response for confirmed, failed or fenced. A caller of a service got a part of a body as the whole response if the service answered a long upload without a length and reset the connection. A response with the status 000 ended the agent's handler by a panic in WriteHeader; a service's response lost its invalid lines.

Evidence: without the change TestBrokenResponseIsNoStatement gets a healthy engine for six of seven responses, and its orders as confirmed, failed or fenced; TestResetWhileSendingBreaksUnframedResponse gets "half" without an error in the first call. The panic and the lost lines are by reading.

Change: both connection pools of the client use httpclient, and bodies are read by ReadBody. httpclient holds the end of a connection back until the request was sent, and makes it an error if that failed.

--- a/internal/clients/engine/engine.go
+++ b/internal/clients/engine/engine.go
@@ -13,7 +13,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,6 +20,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/httpclient"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
@@ -111,8 +111,8 @@
 // except Run takes at most timeout. dial opens the connections; if it is nil, they
 // use TCP.
 func NewClient(address string, timeout time.Duration, dial DialFunc) *Client {
-	reusing := &http.Transport{MaxIdleConnsPerHost: idleConnsPerHost, DialContext: dial, DisableCompression: true}
-	fresh := &http.Transport{DisableKeepAlives: true, DialContext: dial, DisableCompression: true}
+	reusing := httpclient.New(&http.Transport{MaxIdleConnsPerHost: idleConnsPerHost, DialContext: dial, DisableCompression: true})
+	fresh := httpclient.New(&http.Transport{DisableKeepAlives: true, DialContext: dial, DisableCompression: true})
 	return &Client{
 		address:     address,
 		client:      &http.Client{Transport: reusing, CheckRedirect: returnRedirect},
@@ -241,7 +241,7 @@
 		return nil, nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := httpclient.ReadBody(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, nil, err
 	}
