clients/store: broken responses of the store are no response

An entry or an agent took a conditional write for carried out, and a lease for renewed, if the head of the response was damaged or its body had no end.

Cause: http.DefaultClient's lenient parsing, and bodies cut at 64 MB: "true" with blanks after it is "true".

Change: the client uses httpclient and its ReadBody; the outcome of the write is unknown then, as without a response. hyssopctl's client reads bodies by ReadBody too, which returns an error for one that is cut.

Nothing was run for hyssopctl besides its own tests.

--- a/internal/clients/store/consul.go
+++ b/internal/clients/store/consul.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -14,6 +13,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/httpclient"
 )
 
 const (
@@ -28,7 +29,7 @@
 	Address string        // Host and port of the service's HTTP API.
 	Prefix  string        // Prefix of each key in the service, for example "hyssop/".
 	Timeout time.Duration // Maximum time for a call other than Watch.
-	Client  *http.Client  // If nil, http.DefaultClient is used.
+	Client  *http.Client  // If nil, a client that checks responses (package httpclient) is used.
 }
 
 // Consul is a Store that uses the published HTTP API of Consul's KV store. It is
@@ -48,7 +49,7 @@
 // NewConsul returns a client for the service at opts.Address.
 func NewConsul(opts ConsulOptions) *Consul {
 	if opts.Client == nil {
-		opts.Client = http.DefaultClient
+		opts.Client = &http.Client{Transport: httpclient.New(http.DefaultTransport.(*http.Transport).Clone())}
 	}
 	return &Consul{opts: opts}
 }
@@ -227,7 +228,7 @@
 		return 0, nil, err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxConsulResponseBytes))
+	data, err := httpclient.ReadBody(resp.Body, maxConsulResponseBytes)
 	if err != nil {
 		return 0, nil, errors.Annotatef(err, "%s %s: reading the response", method, path)
 	}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -16,10 +15,11 @@
 
 	"github.com/hyssoptiller/hyssoptiller/internal/entry/operatorapi"
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/config"
+	"github.com/hyssoptiller/hyssoptiller/internal/httpclient"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
-// maxResponseBytes is the size at which a response body is truncated.
+// maxResponseBytes bounds a response body.
 const maxResponseBytes = 128 << 20
 
 // Errors of Client. ExitCode maps them to the exit codes of hyssopctl.
@@ -143,7 +143,7 @@
 		return nil, nil, errors.WithType(err, ErrUnreachable)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := httpclient.ReadBody(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, nil, errors.WithType(err, ErrUnreachable)
 	}
