clients/vmlist: the list of VMs is bounded

An entry or an agent whose list of VMs went on without end kept all of it: 1.4 GB for rows and 2.7 GB for one text in a timeout of 2 s, and 230 MB for a head.

Cause: the list was decoded from the connection without a bound, by http.DefaultClient, which accepts heads of 10 MB.

Change: a list has at most 4 MB, and its response is checked by httpclient. Bytes after the list, which were ignored, make it invalid now.

--- a/internal/clients/vmlist/vmlist.go
+++ b/internal/clients/vmlist/vmlist.go
@@ -17,6 +17,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/httpclient"
 	"github.com/hyssoptiller/hyssoptiller/internal/ident"
 )
 
@@ -61,6 +62,9 @@
 	VMs(ctx context.Context) ([]VM, error)
 }
 
+// maxListBytes bounds the list, in which a row takes 100 to 200 bytes.
+const maxListBytes = 4 << 20
+
 // Client reads the list over HTTP as a JSON array of VM. If the server sends an
 // ETag, Client makes its next request conditional, so that an unchanged list is not
 // transferred again. It is safe for concurrent use.
@@ -81,7 +85,8 @@
 
 // NewClient returns a Client for the list at url. Each read takes at most timeout.
 func NewClient(url string, timeout time.Duration) *Client {
-	return &Client{url: url, client: http.DefaultClient, timeout: timeout}
+	transport := httpclient.New(http.DefaultTransport.(*http.Transport).Clone())
+	return &Client{url: url, client: &http.Client{Transport: transport}, timeout: timeout}
 }
 
 // VMs implements List.
@@ -122,8 +127,12 @@
 	case resp.StatusCode != http.StatusOK:
 		return response{}, errors.Errorf("GET %s: status %d, want 200", c.url, resp.StatusCode)
 	}
+	data, err := httpclient.ReadBody(resp.Body, maxListBytes)
+	if err != nil {
+		return response{}, err
+	}
 	next := response{etag: resp.Header.Get("ETag")}
-	if err := json.NewDecoder(resp.Body).Decode(&next.vms); err != nil {
+	if err := json.Unmarshal(data, &next.vms); err != nil {
 		return response{}, err
 	}
 	return next, nil
