peerconn, transport: heads of responses between processes are bounded

A process whose responses had heads of any size cost each process that called it up to 10 MB a call.

Cause: net/http's own bound for HTTP/2 and for the probes on connections of their own; only heads of calls had a smaller one.

Change: 16 KB between routers and schedulers, as for calls, and 128 KB between entries and agents, whose responses hold those of an endpoint. HTTP/2 itself rejects names that are no tokens, and its servers write no invalid status.

--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -18,6 +18,7 @@
 	"github.com/juju/errors"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/fleet/hlc"
+	"github.com/hyssoptiller/hyssoptiller/internal/responsehead"
 )
 
 // HeaderSecret carries the fleet secret. A client sends it whenever a secret is
@@ -34,6 +35,8 @@
 	// deadlines.
 	pingInterval = 5 * time.Second
 	pingTimeout  = 10 * time.Second
+	// maxHeadBytes bounds the header section of a response. It may hold those of an endpoint's response.
+	maxHeadBytes = 2 * responsehead.MaxBytes
 )
 
 // Errors of Security.Validate.
@@ -96,11 +99,12 @@
 // loaded.
 func NewClient(s Security, clock *hlc.Clock, dial DialFunc) (*Client, error) {
 	base := &http.Transport{
-		MaxIdleConnsPerHost: idleConnsPerHost,
-		DisableCompression:  true,
-		DialContext:         dial,
-		Protocols:           new(http.Protocols),
-		HTTP2:               &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		MaxIdleConnsPerHost:    idleConnsPerHost,
+		DisableCompression:     true,
+		DialContext:            dial,
+		Protocols:              new(http.Protocols),
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	scheme := "http"
 	if s.TLS() {
--- a/internal/fleet/transport/transport_test.go
+++ b/internal/fleet/transport/transport_test.go
@@ -22,9 +22,14 @@
 // server responds with the protocol and the secret that its handler received.
 func serve(t *testing.T, s Security, clock *hlc.Clock) string {
 	t.Helper()
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return serveHandler(t, s, clock, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.WriteString(w, r.Proto+r.Header.Get(HeaderSecret))
 	})
+}
+
+// serveHandler runs a fleet server with a handler until the test ends and returns its address.
+func serveHandler(t *testing.T, s Security, clock *hlc.Clock, handler http.HandlerFunc) string {
+	t.Helper()
 	server, err := NewServer(s, clock, handler)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/peerconn/peerconn.go
+++ b/internal/peerconn/peerconn.go
@@ -43,7 +43,7 @@
 	maxShareWait = 50 * time.Millisecond
 	// maxStreams bounds the calls that one client can have open at a server.
 	maxStreams = 2000
-	// maxHeaderBytes bounds the header section of a call, with its CONTINUATION frames. Those of the calls take less than 1 KB.
+	// maxHeaderBytes bounds the header section of a call or of its response, with CONTINUATION frames. They take less than 1 KB.
 	maxHeaderBytes = 16 << 10
 	// streamWindow and connectionWindow bound what a client may send of bodies that are not read. Most bodies take less
 	// than 5 KB.
@@ -86,7 +86,9 @@
 		silent: o.Scope.Counter("silent_total"), probed: o.Scope.Counter("probes_total"),
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	t.fresh = &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	t.fresh = &http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}
 	t.base = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			raw, err := dialer.DialContext(ctx, network, address)
@@ -95,9 +97,10 @@
 			}
 			return t.track(raw, address), nil
 		},
-		DisableCompression: true,
-		Protocols:          new(http.Protocols),
-		HTTP2:              &http.HTTP2Config{SendPingTimeout: idleBeforePing, PingTimeout: pingTimeout},
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		Protocols:              new(http.Protocols),
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: idleBeforePing, PingTimeout: pingTimeout},
 	}
 	t.base.Protocols.SetUnencryptedHTTP2(true)
 	return t
--- a/internal/peerconn/peerconn_test.go
+++ b/internal/peerconn/peerconn_test.go
@@ -183,3 +183,32 @@
 		t.Errorf("%d connections were opened, want 1", n)
 	}
 }
+
+// A process whose responses have large heads cost each of its callers up to 10 MB for each call.
+func TestLargeHeadOfResponseIsRefused(t *testing.T) {
+	server := NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range 64 {
+			w.Header().Add("X-Filler", strings.Repeat("x", 1<<10))
+		}
+	}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	tr := NewTransport(Options{Log: logrus.NewEntry(log), Scope: tally.NoopScope})
+	for _, transport := range []http.RoundTripper{tr, tr.fresh} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+l.Addr().String()+"/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := transport.RoundTrip(req)
+		if err == nil {
+			_ = resp.Body.Close()
+			t.Errorf("a response with a head of 64 KB was accepted, want an error")
+		}
+	}
+}
