transport: bodies of calls between entries and agents are bounded

A process whose response to a call had no end filled the memory of the process that called it until the timeout of the call.

Cause: Twirp's clients read the whole body without a bound.

Evidence: TestEndlessResponseOfCallIsBounded reads on without the change until the 20 s of the test run are over.

Change: transport.Client.Do ends a body with an error after 16 MB. The clients of the configuration, gossip, shares and timeline call through it.

--- a/internal/entry/timelineapi/timelineapi.go
+++ b/internal/entry/timelineapi/timelineapi.go
@@ -43,7 +43,7 @@
 func NewHandler(opts Options) http.Handler {
 	gatherer := timeline.NewGatherer(timeline.GathererOptions{
 		Ring:  opts.Ring,
-		HTTP:  opts.Client.HTTP,
+		HTTP:  opts.Client,
 		Peers: func() []timeline.Peer { return peers(opts) },
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/fleet/config/peers.go
+++ b/internal/fleet/config/peers.go
@@ -35,7 +35,7 @@
 }
 
 func (p twirpPeers) service(m members.Member) rpc.Config {
-	return rpc.NewConfigProtobufClient(p.client.URL(m.Address, ""), p.client.HTTP)
+	return rpc.NewConfigProtobufClient(p.client.URL(m.Address, ""), p.client)
 }
 
 // Push implements Peers.
--- a/internal/fleet/gossip/peers.go
+++ b/internal/fleet/gossip/peers.go
@@ -23,7 +23,7 @@
 func (p twirpPeers) Exchange(
 	ctx context.Context, partner members.Member, req *rpc.ExchangeRequest,
 ) (*rpc.ExchangeResponse, error) {
-	service := rpc.NewGossipProtobufClient(p.client.URL(partner.Address, ""), p.client.HTTP)
+	service := rpc.NewGossipProtobufClient(p.client.URL(partner.Address, ""), p.client)
 	return service.Exchange(ctx, req)
 }
 
--- a/internal/fleet/shares/remote.go
+++ b/internal/fleet/shares/remote.go
@@ -41,7 +41,7 @@
 	if !ok {
 		return nil, ErrUnreachable
 	}
-	return rpc.NewSharesProtobufClient(r.client.URL(address, ""), r.client.HTTP), nil
+	return rpc.NewSharesProtobufClient(r.client.URL(address, ""), r.client), nil
 }
 
 // call runs f with a stub for the entry on vm. timeout bounds the call.
--- a/internal/fleet/timeline/gather.go
+++ b/internal/fleet/timeline/gather.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -31,12 +30,12 @@
 // GathererOptions configures NewGatherer. Concurrency and the timeouts have
 // defaults for values that are not positive.
 type GathererOptions struct {
-	Ring        *Ring         // Ring of this process.
-	HTTP        *http.Client  // Adds the fleet's credentials.
-	Peers       func() []Peer // All other processes on the VM list.
-	Concurrency int           // Maximum number of concurrent calls.
-	CallTimeout time.Duration // Maximum duration of one call.
-	Timeout     time.Duration // Maximum duration of Gather.
+	Ring        *Ring          // Ring of this process.
+	HTTP        rpc.HTTPClient // Adds the fleet's credentials.
+	Peers       func() []Peer  // All other processes on the VM list.
+	Concurrency int            // Maximum number of concurrent calls.
+	CallTimeout time.Duration  // Maximum duration of one call.
+	Timeout     time.Duration  // Maximum duration of Gather.
 }
 
 // Gatherer merges the rings of all processes into one timeline.
--- a/internal/fleet/transport/broken_test.go
+++ b/internal/fleet/transport/broken_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -35,3 +36,26 @@
 		}
 	}
 }
+
+// The body of a response that a caller reads whole went on until the timeout of the call.
+func TestEndlessResponseOfCallIsBounded(t *testing.T) {
+	client, url := answer(t, func(w http.ResponseWriter, _ *http.Request) {
+		for piece := make([]byte, 64<<10); ; {
+			if _, err := w.Write(piece); err != nil {
+				return
+			}
+		}
+	})
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if n, err := io.Copy(io.Discard, resp.Body); err == nil || n > maxCallBytes {
+		t.Errorf("read %d bytes, error %v; want an error after %d at most", n, err, maxCallBytes)
+	}
+}
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -84,6 +84,20 @@
 	Scheme string       // "http" or "https".
 }
 
+// maxCallBytes bounds the response to a call. The largest hold a piece of a configuration or a page of the timeline,
+// some 1 MB.
+const maxCallBytes = 16 << 20
+
+// Do sends a call whose response is read whole. Reading more than maxCallBytes of it returns an error.
+func (c *Client) Do(req *http.Request) (*http.Response, error) {
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxCallBytes)
+	return resp, nil
+}
+
 // URL returns the URL of path on the process with the given fleet address (host
 // and port).
 func (c *Client) URL(address, path string) string {
