--- a/internal/router/spoiled_test.go
+++ b/internal/router/spoiled_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -70,8 +71,11 @@
 	soundStream = soundHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n14\r\nid: 1\r\ndata: one\r\n\r\n\r\n0\r\n\r\n"
 )
 
-// Whatever an endpoint writes, a caller gets a success only with the endpoint's signature, for its own request and
-// with a body that the endpoint sent whole.
+// validHeads matches the heads of a response and of informational ones before it.
+var validHeads = regexp.MustCompile("^(HTTP/1\\.[0-9] [1-5][0-9]{2}( [^\\x00-\\x08\\x0a-\\x1f\\x7f]*)?\r\n([!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\\x00-\\x08\\x0a-\\x1f\\x7f]*\r\n)*\r\n)+")
+
+// Whatever an endpoint writes, a caller gets a success only from a valid head, with the endpoint's signature, for its own
+// request and with a body that the endpoint sent whole.
 func FuzzSpoiledResponse(f *testing.F) {
 	for _, text := range []string{
 		soundPlain, soundStream, soundHead + "\r\npaid",
@@ -80,6 +84,9 @@
 		strings.Replace(soundPlain, "Length: 4", "Length: 9", 1), strings.Replace(soundPlain, "Length: 4", "Encoding: gzip", 1),
 		strings.Replace(soundPlain, "200 OK", "200 OK\r\nNot-Executed: 1", 1), strings.Replace(soundPlain, "Length: 4", "Length: 4\r\nContent-Length: 3", 1),
 		"HTTP/1.1 103 Early Hints\r\n\r\n" + soundPlain, strings.Replace(soundStream, "0\r\n\r\n", "", 1), strings.Replace(soundStream, "14\r\n", "zz\r\n", 1), "\x00\x01\x02", soundPlain + soundPlain,
+		strings.Replace(soundPlain, "200", "000", 1), strings.Replace(soundPlain, "200", "700", 1), strings.Replace(soundPlain, "Length:", "Length :", 1),
+		strings.Replace(soundPlain, "Content-", "X Own: 1\r\nContent-", 1), strings.Replace(soundPlain, "Content-", " ontent-", 1),
+		strings.Replace(soundPlain, "Content-", "\nontent-", 1), strings.Replace(soundStream, "Transfer-", "\tTransfer-", 1), strings.ReplaceAll(soundPlain, "\r\n", "\n"),
 	} {
 		f.Add(true, []byte(text))
 		f.Add(false, []byte(text))
@@ -96,6 +103,9 @@
 			}
 			return
 		}
+		if !validHeads.Match(response) {
+			t.Errorf("success from %q, whose head is invalid", response)
+		}
 		if w.Header().Get("Response-Seal") == "" || w.Header().Get("Content-Encoding") != "" {
 			t.Errorf("success with the headers %v from %q", w.Header(), response)
 		}
