--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -11,7 +11,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/responsehead"
 )
 
-// ErrNotSent means that a response without a length ended before its request was sent.
+// ErrNotSent means that the connection of a response without a length ended before the request was sent.
 const ErrNotSent = errors.ConstError("response ended before its request was sent")
 
 // endOfSendTimeout bounds how long the end of a response waits until its request has been sent.
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -12,7 +12,7 @@
 	// valid before the final one; 101 is not, since no request asks for another protocol.
 	ErrStatusLine = errors.ConstError("malformed response: invalid status line")
 	// ErrField means that a line of the head has no name, one that is no token, or a value with control characters.
-	// A line that begins with a blank, which once continued the line before, is such a line.
+	// Obsolete line folding, a line that begins with a blank to continue the one before, is not accepted.
 	ErrField = errors.ConstError("malformed response: invalid header field")
 	// ErrLineEnd means that a line of the head does not end with CR LF.
 	ErrLineEnd = errors.ConstError("malformed response: line without CR LF")
