router: crash records are compared with each ping and exchanged

Callers saw: a router that had been cut off from the other routers for 12 s sent five more requests with a prompt part to engines, 6 s after the end of the cut, though the others refused the part.

Cause: crashes, quarantines and clearings were sent to each router once. A router asked others only when it found them for the first time, three at most, and read the schedulers' copies only at its start. A cut ends without any of these, so that what was reported during the cut stayed unknown until the record expired.

Evidence: the router logged no prompt_part line before its own five crashes, while its calls to the others worked.

Change: pings carry a digest of the records while something is held. Routers whose digests differ exchange their records, whichever can call the other. States of parts have a version, so that an old suspicion does not undo a clearing and a clearing does not end a quarantine that its router missed.

Why it works: what routers hold is compared, not what they were told, so that the repair does not depend on which message was lost, and one router that can be called suffices.

--- a/internal/crashrecords/crashrecords_test.go
+++ b/internal/crashrecords/crashrecords_test.go
@@ -107,3 +107,17 @@
 		t.Errorf("store took %s, want about %s", took, callTimeout)
 	}
 }
+
+// BenchmarkDigest takes the digest of as many records as one call holds.
+func BenchmarkDigest(b *testing.B) {
+	var r Records
+	for i := range maxRecords {
+		r.Requests = append(r.Requests, Request{Fingerprint: quarantine.Fingerprint(fmt.Sprintf("%032d", i)), Crashes: 3, QuarantineMS: 60000})
+	}
+	for i := range maxParts {
+		r.Parts = append(r.Parts, Part{Part: fmt.Sprintf("%08x", i), State: quarantine.PartQuarantined, RemainingMS: 60000, Epoch: 1})
+	}
+	for b.Loop() {
+		r.Digest()
+	}
+}
--- a/internal/crashrecords/records.go
+++ b/internal/crashrecords/records.go
@@ -1,6 +1,11 @@
 package crashrecords
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/quarantine"
@@ -28,6 +33,42 @@
 	Parts    []Part    `json:"parts,omitempty"`
 }
 
+// digestMargin is the remaining time below which a record is left out of digests, since it ends at each process at
+// another moment.
+const digestMargin = 2 * time.Second
+
+// Digest returns a short digest of the parts and of the requests in quarantine, "" if there are none. Processes with equal
+// digests have nothing to tell each other.
+func (r Records) Digest() string {
+	var lines []string
+	for _, p := range r.Parts {
+		if duration(p.RemainingMS) >= digestMargin {
+			lines = append(lines, fmt.Sprint("part ", p.Part, " ", p.Epoch, " ", p.Change, " ", p.State == quarantine.PartCleared))
+		}
+	}
+	for _, q := range r.Requests {
+		if duration(q.QuarantineMS) >= digestMargin {
+			lines = append(lines, fmt.Sprint("request ", q.Fingerprint))
+		}
+	}
+	if len(lines) == 0 {
+		return ""
+	}
+	slices.Sort(lines)
+	sum := sha256.Sum256([]byte(strings.Join(lines, "\n")))
+	return hex.EncodeToString(sum[:digestBytes])
+}
+
+// digestBytes is the length of a digest before its encoding.
+const digestBytes = 8
+
+// Bounded returns the records without those beyond the bounds of one call.
+func (r Records) Bounded() Records {
+	r.Requests = r.Requests[max(len(r.Requests)-maxRecords, 0):]
+	r.Parts = r.Parts[:min(len(r.Parts), maxParts)]
+	return r
+}
+
 // Request is the state of a request with crashes.
 type Request struct {
 	Fingerprint  quarantine.Fingerprint `json:"fingerprint"`
@@ -42,6 +83,9 @@
 	State       quarantine.PartState `json:"state"`
 	RemainingMS int64                `json:"remainingMs"`
 	Quarantines int                  `json:"quarantines"`
+	// Epoch and Change are the version of the state; both are 0 in records of former builds.
+	Epoch  int `json:"epoch,omitempty"`
+	Change int `json:"change,omitempty"`
 }
 
 // EncodeRequests encodes the state of requests.
@@ -66,16 +110,25 @@
 func EncodeParts(held []quarantine.HeldPart) []Part {
 	out := make([]Part, len(held))
 	for i, p := range held {
-		out[i] = Part{Part: p.Part, State: p.State, RemainingMS: p.Remaining.Milliseconds(), Quarantines: p.Quarantines}
+		out[i] = Part{
+			Part: p.Part, State: p.State, RemainingMS: p.Remaining.Milliseconds(), Quarantines: p.Quarantines,
+			Epoch: p.Version.Epoch, Change: p.Version.Change,
+		}
 	}
 	return out
 }
 
 // Decode returns the state of the part.
 func (p Part) Decode() quarantine.HeldPart {
-	return quarantine.HeldPart{Part: p.Part, State: p.State, Remaining: duration(p.RemainingMS), Quarantines: p.Quarantines}
+	return quarantine.HeldPart{
+		Part: p.Part, State: p.State, Remaining: duration(p.RemainingMS), Quarantines: p.Quarantines,
+		Version: quarantine.PartVersion{Epoch: min(max(p.Epoch, 0), maxVersion), Change: min(max(p.Change, 0), maxVersion)},
+	}
 }
 
+// maxVersion is above each number of a version that is valid in a record.
+const maxVersion = 1 << 30
+
 // maxMS is above each time that is valid in a record.
 const maxMS = int64(24 * time.Hour / time.Millisecond)
 
--- a/internal/crashrecords/server.go
+++ b/internal/crashrecords/server.go
@@ -75,11 +75,8 @@
 func (s *Server) serveList(w http.ResponseWriter, _ *http.Request) {
 	now := time.Now()
 	s.mu.Lock()
-	requests, parts := s.requests.Held(now), s.parts.Held(now)
+	out := Records{Requests: EncodeRequests(s.requests.Held(now)), Parts: EncodeParts(s.parts.Held(now))}.Bounded()
 	s.mu.Unlock()
-	out := Records{
-		Requests: EncodeRequests(requests[max(len(requests)-maxRecords, 0):]), Parts: EncodeParts(parts[:min(len(parts), maxParts)]),
-	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(out); err != nil {
 		s.log.WithError(err).Info("crash records not sent")
--- a/internal/policy/quarantine/parts.go
+++ b/internal/policy/quarantine/parts.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"container/list"
 	"slices"
 	"time"
@@ -50,7 +51,8 @@
 type PartTracker struct {
 	limits  PartLimits
 	records map[string]*list.Element
-	byAge   *list.List // Elements are *partRecord; most recently updated first.
+	byAge   *list.List           // Elements are *partRecord; most recently updated first.
+	known   map[*partRecord]bool // Records that Known may return.
 }
 
 // PartState is the state of a prompt part.
@@ -63,11 +65,26 @@
 	PartQuarantined PartState = "quarantined"
 )
 
+// PartVersion orders the states of a part that routers have found. Each quarantine begins a new epoch, so that a
+// router that has missed a quarantine cannot end it. The zero value is the state of a part without history, and of the
+// parts of former builds.
+type PartVersion struct {
+	Epoch  int // Quarantines so far.
+	Change int // Changes since the last quarantine.
+}
+
+// Compare returns a negative number if v precedes other, 0 if they are equal and a positive number otherwise.
+func (v PartVersion) Compare(other PartVersion) int {
+	return cmp.Or(cmp.Compare(v.Epoch, other.Epoch), cmp.Compare(v.Change, other.Change))
+}
+
 // partRecord is the history of one part.
 type partRecord struct {
 	id          string
 	state       PartState
-	until       time.Time // End of the suspicion or of the quarantine.
+	version     PartVersion // Of the last change that is not the end of a suspicion or quarantine by time.
+	clearedAt   time.Time   // Last time a suspicion was ended by a complete response.
+	until       time.Time   // End of the suspicion or of the quarantine.
 	suspectedAt time.Time
 	quarantines int       // Quarantines so far.
 	onTrial     bool      // A request of this router is on trial.
@@ -79,7 +96,7 @@
 
 // NewPartTracker returns an empty PartTracker.
 func NewPartTracker(limits PartLimits) *PartTracker {
-	return &PartTracker{limits: limits, records: make(map[string]*list.Element), byAge: list.New()}
+	return &PartTracker{limits: limits, records: make(map[string]*list.Element), byAge: list.New(), known: make(map[*partRecord]bool)}
 }
 
 // Suspicion is a part that has crashed enough engines to be a suspect, unless another router has
@@ -120,6 +137,7 @@
 		return false
 	}
 	t.suspect(r, now)
+	r.version.Change++
 	if s.Proven {
 		r.trialsLeft = t.limits.ProvenTrials
 	}
@@ -128,6 +146,7 @@
 
 // suspect makes a part a suspect. After a quarantine it stays one for longer and takes one trial.
 func (t *PartTracker) suspect(r *partRecord, now time.Time) {
+	t.known[r] = true
 	r.state, r.suspectedAt, r.until, r.onTrial, r.trialsLeft = PartSuspect, now, now.Add(t.limits.SuspicionLifetime), false, t.limits.Trials
 	if r.quarantines > 0 {
 		r.until, r.trialsLeft = now.Add(t.limits.RecordLifetime), 1
@@ -154,7 +173,8 @@
 		r.finishedAt = now
 		switch t.stateOf(r, now) {
 		case PartSuspect:
-			t.clear(r)
+			t.clear(r, now)
+			r.version.Change++
 			cleared = append(cleared, id)
 		case PartCleared:
 			r.crashed = nil
@@ -237,7 +257,8 @@
 		duration := durations[min(r.quarantines, len(durations)-1)]
 		r.state, r.until = PartQuarantined, now.Add(duration)
 		r.quarantines++
-		out = append(out, r.held(now))
+		r.version = PartVersion{Epoch: r.version.Epoch + 1}
+		out = append(out, t.held(r, now))
 	}
 	return out
 }
@@ -246,43 +267,94 @@
 type HeldPart struct {
 	Part        string
 	State       PartState
-	Remaining   time.Duration
+	Remaining   time.Duration // Time until the end of the suspicion or quarantine, or for which a cleared part is known.
 	Quarantines int
+	Version     PartVersion
 }
 
-func (r *partRecord) held(now time.Time) HeldPart {
-	return HeldPart{Part: r.id, State: r.state, Remaining: r.until.Sub(now), Quarantines: r.quarantines}
+func (t *PartTracker) held(r *partRecord, now time.Time) HeldPart {
+	until := r.until
+	if r.state == PartCleared {
+		until = r.clearedAt.Add(t.limits.RecordLifetime)
+	}
+	return HeldPart{Part: r.id, State: r.state, Remaining: max(until.Sub(now), 0), Quarantines: r.quarantines, Version: r.version}
+}
+
+// States returns the states of parts.
+func (t *PartTracker) States(parts []string, now time.Time) []HeldPart {
+	var out []HeldPart
+	for _, id := range parts {
+		if e, ok := t.records[id]; ok {
+			t.stateOf(e.Value.(*partRecord), now)
+			out = append(out, t.held(e.Value.(*partRecord), now))
+		}
+	}
+	return out
 }
 
-// Held returns the parts that are suspects or in quarantine.
+// Held returns the parts that are suspects or in quarantine, the latter first.
 func (t *PartTracker) Held(now time.Time) []HeldPart {
+	return slices.DeleteFunc(t.Known(now), func(h HeldPart) bool { return h.State == PartCleared })
+}
+
+// Known returns the parts in quarantine, then the suspects, then those that were cleared within RecordLifetime: a router
+// that still suspects one of these must learn of it.
+func (t *PartTracker) Known(now time.Time) []HeldPart {
 	var out []HeldPart
-	for e := t.byAge.Front(); e != nil; e = e.Next() {
-		if r := e.Value.(*partRecord); t.stateOf(r, now) != PartCleared {
-			out = append(out, r.held(now))
+	for r := range t.known {
+		t.stateOf(r, now)
+		if h := t.held(r, now); h.Remaining > 0 || h.State != PartCleared {
+			out = append(out, h)
+		} else {
+			delete(t.known, r)
 		}
 	}
+	rank := map[PartState]int{PartQuarantined: 0, PartSuspect: 1, PartCleared: 2}
+	slices.SortFunc(out, func(a, b HeldPart) int {
+		return cmp.Or(cmp.Compare(rank[a.State], rank[b.State]), cmp.Compare(b.Remaining, a.Remaining), cmp.Compare(a.Part, b.Part))
+	})
 	return out
 }
 
-// Apply adopts the state of a part at another router. A suspicion there does not end a quarantine
-// here. It reports whether the state changed.
+// Apply adopts the state of a part at another router if it is newer than the one here, or as new and stricter. A state
+// without a version, from a former build, counts as newer, but a suspicion does not end a quarantine here. Apply
+// reports whether the state changed.
 func (t *PartTracker) Apply(h HeldPart, now time.Time) bool {
 	r := t.touch(h.Part, now)
 	current := t.stateOf(r, now)
+	versioned := h.Version != (PartVersion{})
+	order := h.Version.Compare(r.version)
+	if versioned && order < 0 {
+		return false
+	}
+	newer := versioned && order > 0
 	r.quarantines = max(r.quarantines, h.Quarantines)
 	until := now.Add(min(h.Remaining, slices.Max(t.limits.QuarantineDurations)))
+	if newer {
+		r.version = h.Version
+	}
 	switch {
-	case h.State == PartCleared && current == PartSuspect:
-		t.clear(r)
-	case h.State == PartSuspect && current == PartCleared:
+	case h.State == PartCleared && newer:
+		t.clear(r, until.Add(-t.limits.RecordLifetime))
+	case h.State == PartCleared && versioned && current == PartCleared:
+		r.clearedAt, t.known[r] = until.Add(-t.limits.RecordLifetime), true
+	case h.State == PartCleared && !versioned && current == PartSuspect:
+		t.clear(r, now)
+	case h.State == PartSuspect && (current == PartCleared || newer && current == PartQuarantined):
 		t.suspect(r, now)
 		r.until = until
 	case h.State == PartQuarantined && (current != PartQuarantined || until.After(r.until)):
+		t.known[r] = true
 		r.state, r.until, r.onTrial = PartQuarantined, until, false
+	case h.State == PartSuspect && newer:
+		r.until = until
+		return false
 	default:
 		return false
 	}
+	if !versioned {
+		r.version.Change++
+	}
 	return current != h.State
 }
 
@@ -299,9 +371,14 @@
 	return r.state
 }
 
-// clear ends the suspicion of a part, and the series of its quarantines.
-func (t *PartTracker) clear(r *partRecord) {
-	r.state, r.crashed, r.onTrial, r.quarantines = PartCleared, nil, false, 0
+// clear ends the suspicion of a part, and the series of its quarantines, because of a complete response at a time. Later
+// crashes count.
+func (t *PartTracker) clear(r *partRecord, at time.Time) {
+	t.known[r] = true
+	if !r.firstCrash.After(at) {
+		r.crashed = nil
+	}
+	r.state, r.clearedAt, r.onTrial, r.quarantines = PartCleared, at, false, 0
 }
 
 // touch returns the record of a part, which it creates if needed. A new record replaces the least
@@ -316,6 +393,7 @@
 		if t.stateOf(r, now) == PartCleared {
 			t.byAge.Remove(e)
 			delete(t.records, r.id)
+			delete(t.known, r)
 		}
 		e = previous
 	}
--- a/internal/policy/quarantine/parts_test.go
+++ b/internal/policy/quarantine/parts_test.go
@@ -354,3 +354,63 @@
 		}
 	})
 }
+
+// Guards against old records that undo newer ones: however routers that miss reports exchange their states, these become equal,
+// a clearing does not end a quarantine that its router did not know of, and no old suspicion outlives a clearing.
+func TestExchangedPartsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		var routers []*PartTracker
+		for range rapid.IntRange(2, 4).Draw(t, "routers") {
+			routers = append(routers, NewPartTracker(DefaultPartLimits()))
+		}
+		draw := func(label string) *PartTracker { return rapid.SampledFrom(routers).Draw(t, label) }
+		exchange := func(a, b *PartTracker) {
+			for _, h := range a.Known(now) {
+				b.Apply(h, now)
+			}
+			for _, h := range b.Known(now) {
+				a.Apply(h, now)
+			}
+		}
+		var held HeldPart // The latest quarantine, at heldAt.
+		var heldAt time.Time
+		endedBy := 0 // Clearings by routers that knew of it.
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+			router := draw("router")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				router.Suspect(Suspicion{Part: "p", Since: now}, now)
+			case 1:
+				for range router.limits.Trials {
+					if q := router.RecordTrialCrash([]string{"p"}, now); len(q) > 0 && q[0].Version.Epoch > held.Version.Epoch {
+						held, heldAt, endedBy = q[0], now, 0
+					}
+				}
+			case 2:
+				if cleared := router.States(router.RecordFinish([]string{"p"}, now), now); len(cleared) > 0 &&
+					cleared[0].Version.Epoch >= held.Version.Epoch {
+					endedBy++
+				}
+			case 3:
+				exchange(router, draw("other"))
+			}
+		}
+		for range len(routers) {
+			for i := range routers[1:] {
+				exchange(routers[i], routers[i+1])
+			}
+		}
+		first := routers[0].Known(now)
+		for _, r := range routers[1:] {
+			got := r.Known(now)
+			if len(first) != len(got) || len(got) > 0 && (got[0].State != first[0].State || got[0].Version != first[0].Version) {
+				t.Fatalf("states after exchanges: %+v and %+v, want equal ones", first, got)
+			}
+		}
+		if heldAt.Add(held.Remaining).After(now) && endedBy == 0 && (len(first) == 0 || first[0].State != PartQuarantined) {
+			t.Fatalf("states %+v after the quarantine %+v, want it to go on", first, held)
+		}
+	})
+}
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -265,6 +265,12 @@
 	return changed
 }
 
+// Excuses reports whether runs without a crash excuse the next crash of a request.
+func (t *CrashTracker) Excuses(id Fingerprint, now time.Time) bool {
+	r := t.lookup(id, now)
+	return r != nil && r.goodRuns > 0
+}
+
 // Len returns the number of requests with a record.
 func (t *CrashTracker) Len() int {
 	return len(t.records)
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -236,7 +236,7 @@
 
 // Mount adds the handlers for the calls of other routers to r.
 func (l *Ledger) Mount(r chi.Router) {
-	r.Post(PathPing, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Post(PathPing, l.peers.servePing)
 	r.Post(PathTake, func(w http.ResponseWriter, httpReq *http.Request) {
 		var req quotaRequest
 		if !schedulerapi.DecodeRequest(w, httpReq, schedulerapi.MaxPeerCallBytes, &req) {
--- a/internal/quota/peers.go
+++ b/internal/quota/peers.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -51,6 +52,9 @@
 	unlistedPeerTTL = 2 * time.Second
 )
 
+// maxPingBytes bounds the body of a ping.
+const maxPingBytes = 1 << 10
+
 // maxReplyBytes bounds the response to a call between routers.
 const maxReplyBytes = 1 << 20
 
@@ -77,6 +81,11 @@
 type Peers struct {
 	// OnFound is called in the background for each router that is found. Set it before Add; it may be nil.
 	OnFound func(Peer)
+	// Digest returns a digest of the records that routers compare with each ping, "" if there are none. OnDigest is called
+	// in the background with the digest of a router that responded to a ping, unless both have none. Set them before Serve;
+	// they may be nil.
+	Digest   func() string
+	OnDigest func(from Peer, digest string)
 
 	self   string // VM of this router.
 	client *http.Client
@@ -141,16 +150,56 @@
 			p.markInterrupted(now)
 		}
 		for _, target := range p.sample(pingPeers) {
-			go func() {
-				// Call records the failure, and Isolated and owners use the record.
-				_ = p.Call(ctx, target, PathPing, nil, nil)
-			}()
+			go p.ping(ctx, target)
 		}
 		p.Isolated(time.Now()) // Notices the start and the end of an isolation without requests.
 		p.removeUnlisted(time.Now())
 	}
 }
 
+// pingBody is the body of a ping and of its response while either router has records; otherwise pings have none. Former
+// builds respond without a body.
+type pingBody struct {
+	Records *string `json:"records,omitempty"` // Digest of the records.
+}
+
+// ping calls a router to learn whether it responds, and compares the records. A failure is recorded, and Isolated and owners
+// use the record.
+func (p *Peers) ping(ctx context.Context, target Peer) {
+	var req *pingBody
+	if digest := p.digest(); digest != "" {
+		req = &pingBody{&digest}
+	}
+	data, err := p.call(ctx, target, PathPing, req, nil)
+	var reply pingBody
+	if err != nil || len(data) == 0 || p.OnDigest == nil {
+		return
+	}
+	if err := json.Unmarshal(data, &reply); err != nil || reply.Records == nil {
+		return
+	}
+	p.OnDigest(target, *reply.Records)
+}
+
+func (p *Peers) digest() string {
+	if p.Digest == nil {
+		return ""
+	}
+	return p.Digest()
+}
+
+// servePing responds to a ping.
+func (p *Peers) servePing(w http.ResponseWriter, req *http.Request) {
+	var in *pingBody
+	data, err := io.ReadAll(io.LimitReader(req.Body, maxPingBytes))
+	if err != nil || json.Unmarshal(data, &in) != nil {
+		in = nil // An unknown body does not make this router unreachable.
+	}
+	if digest := p.digest(); digest != "" || in != nil && in.Records != nil {
+		writeJSON(w, pingBody{&digest})
+	}
+}
+
 // sample returns up to n random routers.
 func (p *Peers) sample(n int) []Peer {
 	p.mu.Lock()
@@ -463,9 +512,15 @@
 // whether the router responded within callTimeout. It returns ErrNoResponse if the router did not
 // or responded with an error. An error of building the request has no such type.
 func (p *Peers) Call(ctx context.Context, to Peer, path string, req, reply any) error {
+	_, err := p.call(ctx, to, path, req, reply)
+	return err
+}
+
+// call implements Call and returns the body of the response.
+func (p *Peers) call(ctx context.Context, to Peer, path string, req, reply any) ([]byte, error) {
 	data, err := json.Marshal(req)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	type result struct {
 		body []byte
@@ -489,16 +544,16 @@
 		r.err = errors.Errorf("POST %s of router %s: no response within %s", path, to.VM, callTimeout)
 	case <-ctx.Done():
 		// The caller gives up, which says nothing about the router.
-		return errors.WithType(ctx.Err(), ErrNoResponse)
+		return nil, errors.WithType(ctx.Err(), ErrNoResponse)
 	}
 	if r.err == nil && reply != nil {
 		r.err = json.Unmarshal(r.body, reply)
 	}
 	p.recordCall(to, r.err)
 	if r.err != nil {
-		return errors.WithType(r.err, ErrNoResponse)
+		return nil, errors.WithType(r.err, ErrNoResponse)
 	}
-	return nil
+	return r.body, nil
 }
 
 // post sends a call and returns the body of its response.
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -22,6 +22,7 @@
 	coldRefused       tally.Counter // Endpoints left out for a request because they are cold.
 	endpointsDraining tally.Counter // Endpoints that said in a response that they drain.
 	endpointPushbacks tally.Counter // Refusals with a Retry-After of endpoints that were in use.
+	recordExchanges   tally.Counter // Exchanges of crash records with other routers.
 	partsRefused      tally.Counter // Requests refused because of a prompt part on which engines crash.
 	evacuatedDomains  tally.Gauge   // Failure domains whose evacuation key stands.
 	preloadsOrdered   tally.Counter // Preloads that schedulers took.
@@ -58,6 +59,7 @@
 		evacuatedDomains:  scope.Gauge("evacuated_domains"),
 		preloadsOrdered:   scope.Counter("preloads_ordered_total"),
 		preloadsFailed:    scope.Counter("preloads_failed_total"),
+		recordExchanges:   scope.Counter("crash_record_exchanges_total"),
 		streamsUnrecorded: scope.Counter("streams_unrecorded_total"),
 	}
 }
--- a/internal/router/crashtracker.go
+++ b/internal/router/crashtracker.go
@@ -255,12 +255,13 @@
 	return crashrecords.Records{Requests: crashrecords.EncodeRequests(held[max(len(held)-maxCrashRecords, 0):])}
 }
 
-// apply adopts the records of another process.
+// apply adopts the records of another process, except of requests that ran here without a crash since their last crash:
+// they were not the cause.
 func (t *crashTracker) apply(in crashrecords.Records, from string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range in.Requests {
-		if t.tracker.Apply(r.Decode(), time.Now()) {
+		if !t.tracker.Excuses(r.Fingerprint, time.Now()) && t.tracker.Apply(r.Decode(), time.Now()) {
 			t.log.WithFields(logrus.Fields{
 				"event": "crash_record", "fingerprint": r.Fingerprint, "crashes": r.Crashes, "ms": r.QuarantineMS, "from": from,
 			}).Info("crashes of a request adopted")
--- a/internal/router/partquarantine.go
+++ b/internal/router/partquarantine.go
@@ -72,7 +72,7 @@
 }
 
 func encodeHeldParts(parts []quarantine.HeldPart) crashrecords.Records {
-	return crashrecords.Records{Parts: crashrecords.EncodeParts(parts)}
+	return crashrecords.Records{Parts: crashrecords.EncodeParts(parts)}.Bounded()
 }
 
 // partQuarantine holds back prompt parts on which engines crash, together with the other routers.
@@ -108,22 +108,14 @@
 
 // recordFinish records a complete response to a request with these parts.
 func (t *partQuarantine) recordFinish(parts []string) {
+	now := time.Now()
 	t.mu.Lock()
-	cleared := t.tracker.RecordFinish(parts, time.Now())
+	cleared := t.tracker.States(t.tracker.RecordFinish(parts, now), now)
 	t.mu.Unlock()
 	if len(cleared) > 0 {
-		t.announceCleared(cleared)
-	}
-}
-
-// announceCleared logs that suspects were cleared and reports it to the other routers.
-func (t *partQuarantine) announceCleared(parts []string) {
-	changes := make([]quarantine.HeldPart, len(parts))
-	for i, part := range parts {
-		changes[i] = quarantine.HeldPart{Part: part, State: quarantine.PartCleared}
+		t.logChanges(cleared, "")
+		t.peers.Broadcast(context.Background(), pathPartChanges, encodeHeldParts(cleared))
 	}
-	t.logChanges(changes, "")
-	t.peers.Broadcast(context.Background(), pathPartChanges, encodeHeldParts(changes))
 }
 
 // logChanges logs new states of parts. from is the process that they were adopted from, "" for this one.
@@ -227,11 +219,11 @@
 	}
 }
 
-// records returns the parts that are suspects or in quarantine.
+// records returns the parts that are suspects or in quarantine, and those that were cleared lately.
 func (t *partQuarantine) records() crashrecords.Records {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return encodeHeldParts(t.tracker.Held(time.Now()))
+	return encodeHeldParts(t.tracker.Known(time.Now()))
 }
 
 // mount adds the handlers for the calls of other routers to r.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,6 +70,7 @@
 	crashTracker    *crashTracker
 	parts           *partQuarantine
 	crashRecords    *crashRecordStore
+	recordExchange  *recordExchange
 	streamOrigins   *streamOrigins
 	budgets         *retryBudgets
 	streamLengths   *streamLengths
@@ -126,15 +127,20 @@
 		}
 		return r.streamOrigins.holders(v).Schedulers
 	}
-	r.crashRecords.records = func() crashrecords.Records {
+	records := func() crashrecords.Records {
 		records := r.crashTracker.records(storedCrashes)
 		records.Parts = r.parts.records().Parts
-		return records
+		return records.Bounded()
 	}
-	r.crashRecords.adopt = func(from string, records crashrecords.Records) {
+	adopt := func(from string, records crashrecords.Records) {
 		r.crashTracker.apply(records, from)
 		r.parts.apply(records, from)
 	}
+	r.crashRecords.records, r.crashRecords.adopt = records, adopt
+	r.recordExchange = newRecordExchange(r.peers, log)
+	r.recordExchange.records, r.recordExchange.adopt = records, adopt
+	r.recordExchange.count = func() { r.counters.recordExchanges.Inc(1) }
+	r.peers.Digest, r.peers.OnDigest = r.recordExchange.digest, r.recordExchange.compare
 	r.crashRecords.isOwner = func() bool { return r.peers.Owns(crashRecordsKey, 0, time.Now()) }
 	r.crashTracker.OnCounted, r.parts.OnChange = r.crashRecords.publish, r.crashRecords.publish
 	r.budgets = newRetryBudgets(s.RetryRatio, s.RetryBurst, r.peers.Count)
@@ -321,6 +327,7 @@
 	r.endpointLimits.Mount(router)
 	r.crashTracker.mount(router)
 	r.parts.mount(router)
+	r.recordExchange.mount(router)
 	r.streamOrigins.server.Mount(router)
 	return router
 }
