grants, router: requests begin on a former adapter version within the bound

Cause: the scheduler granted the former version for 2.5 s after it had read the announcement. The bound counts up to the first token, so that the queue, the prefills ahead and the own prefill had to fit into the difference, at whatever speed the engine had. Nothing acted on an attempt once it was sent, and the router did not compare the granted version with the one that it knew.

Change: the time to begin counts from the last moment at which the version was known not to be announced. A scheduler grants the former version only if the prefills end in time at an eighth of the normal speed. A router drops a grant that would begin late, and gives up an attempt that has not begun 250 ms before the bound. What may run again is sent to another engine within the retry budget; what must run once gets 502. The bound is read from the platform's settings.

Why it works: the estimate keeps nearly all requests inside the bound, and the time limit at the router holds whatever the engine does.

--- a/cmd/hyssop-router/main.go
+++ b/cmd/hyssop-router/main.go
@@ -41,6 +41,8 @@
 	process.AddFlag(app, "grace", "Maximum time from SIGTERM until the process ends.").Default("8s").DurationVar(&s.ShutdownGrace)
 	process.AddFlag(app, "drain-bound", "Maximum time for which a draining endpoint is still used.").Default("2s").DurationVar(&s.EndpointDrainBound)
 	process.AddFlag(app, "config-bound", "Maximum time until a change of the configuration is in force.").Default("2s").DurationVar(&s.ConfigBound)
+	process.AddFlag(app, "version-bound", "Time after the announcement of an adapter version from which no request may begin on a former one; that of the platform's bounds if empty.").SetValue(&s.VersionBound)
+	process.AddFlag(app, "platform-bounds", "Bounds of the platform, as a JSON object; empty if there are none.").SetValue(&s.PlatformBounds)
 	process.AddFlag(app, "evacuate-bound", "Maximum time until an evacuated failure domain gets no requests; 5s if empty or without a number.").SetValue(&s.EvacuateBound)
 	process.AddFlag(app, "regions", "Region of each failure domain, as a JSON object; empty if there are none.").SetValue(&s.Regions)
 	process.AddFlag(app, "retry-ratio", "Retries per request that all routers together may make.").Default("0.2").Float64Var(&s.RetryRatio)
--- a/cmd/hyssop-scheduler/main.go
+++ b/cmd/hyssop-scheduler/main.go
@@ -25,6 +25,8 @@
 	process.AddFlag(app, "admin", "Listen address for the metrics page.").StringVar(&s.AdminAddress)
 	process.AddFlag(app, "store", "Address (host:port) of the platform's key-value store.").StringVar(&s.StoreAddress)
 	process.AddFlag(app, "memory-mb", "Memory of this VM in MB; 0 sets no memory limit.").Default("0").IntVar(&s.MemoryMB)
+	process.AddFlag(app, "version-bound", "Time after the announcement of an adapter version from which no request may begin on a former one; that of the platform's bounds if empty.").SetValue(&s.VersionBound)
+	process.AddFlag(app, "platform-bounds", "Bounds of the platform, as a JSON object; empty if there are none.").SetValue(&s.PlatformBounds)
 	// Parse fills s from the flags before it calls the check.
 	level := process.Parse(app, func() error { return s.Check() })
 	o := process.Options{Name: app.Name, VM: s.VM, MemoryMB: s.MemoryMB, Level: level}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -57,7 +57,7 @@
 			if rapid.Bool().Draw(t, "config") {
 				s.SetConfig(config(v))
 			} else {
-				s.SetVersion(AdapterVersion{key, v})
+				s.SetVersion(AdapterVersion{key, v}, time.Time{})
 			}
 			view := s.View()
 			if view.Config != nil {
@@ -66,10 +66,10 @@
 				}
 				version = view.Config.Version
 			}
-			if view.Versions[key] < adapter {
-				t.Fatalf("adapter version decreased to %d from %d", view.Versions[key], adapter)
+			if view.Versions[key].Version < adapter {
+				t.Fatalf("adapter version decreased to %d from %d", view.Versions[key].Version, adapter)
 			}
-			adapter = view.Versions[key]
+			adapter = view.Versions[key].Version
 		}
 	})
 }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -26,15 +26,22 @@
 
 // View is an immutable snapshot of the deployment.
 type View struct {
-	Config    *Config                // Nil before the first configuration.
-	Endpoints map[string][]*Endpoint // By service.
-	Versions  map[AdapterKey]int64   // Latest announced version of each adapter.
-	Synced    bool                   // The registry has been listed at least once.
+	Config    *Config                     // Nil before the first configuration.
+	Endpoints map[string][]*Endpoint      // By service.
+	Versions  map[AdapterKey]Announcement // Latest announced version of each adapter.
+	Synced    bool                        // The registry has been listed at least once.
 	// OperatorSynced is set once the operator's items have been listed.
 	OperatorSynced bool
 	Evacuations    *evacuation.State
 }
 
+// Announcement is the announcement of an adapter version.
+type Announcement struct {
+	Version int64
+	Since   time.Time // The version was announced after this time; zero if that is not known.
+	ReadAt  time.Time // When this process read it.
+}
+
 // FindEndpoint returns a service's endpoint by its ID, or nil.
 func (v *View) FindEndpoint(service string, id EndpointID) *Endpoint {
 	for _, e := range v.Endpoints[service] {
@@ -54,7 +61,7 @@
 	latest     map[EndpointID]*Endpoint // Last registration of each endpoint, with its heartbeat.
 	removed    map[EndpointID]time.Time // Time of removal of the registrations in latest only.
 	expiring   map[EndpointID]time.Time // Time of removal of registrations that expired in an outage.
-	versions   map[AdapterKey]int64
+	versions   map[AdapterKey]Announcement
 	synced     bool
 	services   map[string]soleService           // Of each route that has only one, by the route's name.
 	listedAt   time.Time                        // First listing of the registry; zero before it.
@@ -76,7 +83,7 @@
 		removed:   make(map[EndpointID]time.Time),
 		ending:    make(map[string]time.Time),
 		expiring:  make(map[EndpointID]time.Time),
-		versions:  make(map[AdapterKey]int64),
+		versions:  make(map[AdapterKey]Announcement),
 		changed:   make(chan struct{}, 1),
 		services:  make(map[string]soleService),
 		software:  make(map[string]*streamorigin.History),
@@ -146,14 +153,14 @@
 }
 
 // SetVersion sets an adapter's version if it is newer than the current one, and reports
-// whether it was.
-func (s *State) SetVersion(v AdapterVersion) bool {
+// whether it was. since is the last time at which it was known not to be announced, zero if that is not known.
+func (s *State) SetVersion(v AdapterVersion, since time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if v.Version <= s.versions[v.AdapterKey] {
+	if v.Version <= s.versions[v.AdapterKey].Version {
 		return false
 	}
-	s.versions[v.AdapterKey] = v.Version
+	s.versions[v.AdapterKey] = Announcement{Version: v.Version, Since: since, ReadAt: s.now()}
 	s.invalidate()
 	return true
 }
--- a/internal/policy/grants/machine.go
+++ b/internal/policy/grants/machine.go
@@ -10,6 +10,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/millis"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/coldstart"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/versionbound"
 )
 
 const (
@@ -32,7 +33,7 @@
 	lastUsed     time.Time
 	loading      bool      // Ordered and not resident yet.
 	unloading    bool      // An unload was ordered and its outcome is unknown.
-	staleSince   time.Time // When a newer version was announced; zero if none was.
+	staleSince   time.Time // When the announcement of a newer version was read; zero if none was.
 }
 
 // queuedRequest is a request that waits for its grant.
@@ -56,7 +57,8 @@
 type Machine struct {
 	config           Config
 	limits           Limits
-	announced        map[catalog.AdapterKey]int64 // Newest announced versions.
+	announced        map[catalog.AdapterKey]int64     // Newest announced versions.
+	beginBy          map[catalog.AdapterKey]time.Time // Until when requests must begin on the versions before these.
 	alive            bool
 	draining         bool // Stays set until the next incarnation.
 	incarnation      int64
@@ -97,7 +99,7 @@
 // New returns a Machine for an engine that has not reported yet.
 func New(config Config) *Machine {
 	return &Machine{
-		config: config, announced: make(map[catalog.AdapterKey]int64), adapters: make(map[catalog.AdapterKey]*adapter),
+		config: config, announced: make(map[catalog.AdapterKey]int64), beginBy: make(map[catalog.AdapterKey]time.Time), adapters: make(map[catalog.AdapterKey]*adapter),
 		reloads: make(map[catalog.AdapterKey]time.Time),
 		grants:  make(map[RequestID]*activeGrant), prompts: newPromptCache(0), meanRunTime: initialRunTime, needsReport: true,
 		prefills: newPrefillBacklog(config.PrefillTokensPerMS), demands: newDemands(),
@@ -110,12 +112,25 @@
 	m.prompts.capacity = int(promptCacheShare * float64(l.KVTokens))
 }
 
-// AnnounceVersion records a new version of an adapter. Older versions are ignored.
-func (m *Machine) AnnounceVersion(key catalog.AdapterKey, version int64, now time.Time) {
+// BeginBy returns the time by which requests must begin on a version before an announced one.
+func (m *Machine) BeginBy(a catalog.Announcement) time.Time {
+	return versionbound.BeginBy(m.config.VersionBound, a.Since, a.ReadAt)
+}
+
+// AnnounceVersion records a new version of an adapter, and the time by which requests must begin on a former one. Older
+// versions are ignored. beginBy is zero if it is not known. Each process knows since when the version may have been announced, so that the latest of their
+// times holds.
+func (m *Machine) AnnounceVersion(key catalog.AdapterKey, version int64, beginBy, now time.Time) {
+	if version == m.announced[key] && beginBy.After(m.beginBy[key]) {
+		m.beginBy[key] = beginBy
+	}
 	if version <= m.announced[key] {
 		return
 	}
-	m.announced[key] = version
+	if beginBy.IsZero() {
+		beginBy = m.BeginBy(catalog.Announcement{ReadAt: now})
+	}
+	m.announced[key], m.beginBy[key] = version, beginBy
 	if a := m.adapters[key]; a != nil && a.version < version && a.staleSince.IsZero() {
 		a.staleSince = now
 	}
@@ -466,7 +481,7 @@
 
 func (m *Machine) canRun(q *queuedRequest, now time.Time) bool {
 	r := q.request
-	if !m.usable(r.Key, now) || m.limits.Slots == 0 {
+	if !m.usable(r.Key, now) || !m.beginsInTime(r.Key, q.prefillMS, now) || m.limits.Slots == 0 {
 		return false
 	}
 	if m.limits.Cold.Paces() && r.Incarnation > m.incarnation {
@@ -494,7 +509,15 @@
 	if a == nil || a.loading || a.unloading {
 		return false
 	}
-	return a.staleSince.IsZero() || now.Sub(a.staleSince) < m.config.FormerVersionPeriod && a.activeGrants > 0
+	return a.staleSince.IsZero() || now.Sub(a.staleSince) < m.config.FormerVersionPeriod && a.activeGrants > 0 && now.Before(m.beginBy[key])
+}
+
+// beginsInTime reports whether a request with a prefill, of a duration at normal speed, begins in time if the resident version
+// of its adapter is a former one.
+func (m *Machine) beginsInTime(key catalog.AdapterKey, prefillMS float64, now time.Time) bool {
+	a := m.adapters[key]
+	return a == nil || a.staleSince.IsZero() ||
+		versionbound.BeginsInTime(m.beginBy[key], now, m.prefills.backlogMS()/m.prefills.slowdown+prefillMS)
 }
 
 func (m *Machine) grant(q *queuedRequest, now time.Time) {
@@ -525,7 +548,8 @@
 	}
 	m.prefills.advance(now)
 	wait := m.prefillWait(r)
-	if a := m.adapters[r.Key]; a != nil && !a.staleSince.IsZero() && a.activeGrants > 0 && !m.usable(r.Key, now) {
+	if a := m.adapters[r.Key]; a != nil && !a.staleSince.IsZero() && a.activeGrants > 0 &&
+		(!m.usable(r.Key, now) || !m.beginsInTime(r.Key, prefillMS, now)) {
 		return m.meanRunTime, RefusalVersionReplaced
 	}
 	if !m.usable(r.Key, now) {
--- a/internal/policy/grants/machine_test.go
+++ b/internal/policy/grants/machine_test.go
@@ -199,7 +199,7 @@
 		"load ends": func(*rapid.T) { e.finishLoads() },
 		"report":    func(*rapid.T) { m.ApplyReport(e.report(incarnation), now) },
 		"announce": func(t *rapid.T) {
-			m.AnnounceVersion(adapterKey(rapid.IntRange(0, 6).Draw(t, "adapter")), rapid.Int64Range(1, 4).Draw(t, "version"), now)
+			m.AnnounceVersion(adapterKey(rapid.IntRange(0, 6).Draw(t, "adapter")), rapid.Int64Range(1, 4).Draw(t, "version"), now.Add(5*time.Second), now)
 		},
 		"": func(t *rapid.T) { // rapid runs this check after each step.
 			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
@@ -274,7 +274,7 @@
 	m.RequestGrant(Request{ID: 1, Key: adapterKey(1)}, at(0))
 	carryOutOrders(t, m, adapterKey(1), &r, at(1))
 	decisions(m)
-	m.AnnounceVersion(adapterKey(1), 2, at(100))
+	m.AnnounceVersion(adapterKey(1), 2, at(5100), at(100))
 	m.RequestGrant(Request{ID: 2, Key: adapterKey(1)}, at(200))
 	if d := decisions(m)[2]; !d.Granted || d.Version != 1 {
 		t.Errorf("100 ms after the announcement: decision %+v, want a grant of version 1", d)
@@ -292,6 +292,45 @@
 	}
 }
 
+// Guards against a large prompt that is granted a former version and begins after the bound, since its engine turns slow: such a
+// prompt is refused at once, while short ones are still granted the former version.
+func TestLargePromptIsNotGrantedFormerVersionItMayBeginLateOn(t *testing.T) {
+	m, r := newTestMachine(2), emptyReport()
+	m.SetLimits(Limits{Slots: 64, KVTokens: 250_000, AdapterSlots: 2})
+	m.RequestGrant(Request{ID: 1, Key: adapterKey(1)}, at(0))
+	carryOutOrders(t, m, adapterKey(1), &r, at(1))
+	decisions(m)
+	m.AnnounceVersion(adapterKey(1), 2, at(5100), at(100))
+	m.RequestGrant(Request{ID: 2, Key: adapterKey(1), PromptTokens: 39_600}, at(2000))
+	if d := decisions(m)[2]; d.Granted || d.Refusal != RefusalVersionReplaced {
+		t.Errorf("large prompt: decision %+v, want a refusal as version_replaced", d)
+	}
+	m.RequestGrant(Request{ID: 3, Key: adapterKey(1), PromptTokens: 800}, at(2001))
+	if d := decisions(m)[3]; !d.Granted || d.Version != 1 {
+		t.Errorf("short prompt: decision %+v, want a grant of version 1", d)
+	}
+}
+
+// The time that a router gives to begin on a former version holds if it knows better since when the new one is announced; a router
+// that does not say changes nothing.
+func TestLatestTimeToBeginOnFormerVersionHolds(t *testing.T) {
+	m, r := newTestMachine(2), emptyReport()
+	m.RequestGrant(Request{ID: 1, Key: adapterKey(1)}, at(0))
+	carryOutOrders(t, m, adapterKey(1), &r, at(1))
+	decisions(m)
+	m.AnnounceVersion(adapterKey(1), 2, at(1000), at(100))
+	m.AnnounceVersion(adapterKey(1), 2, time.Time{}, at(900))
+	m.RequestGrant(Request{ID: 2, Key: adapterKey(1)}, at(1000))
+	if d := decisions(m)[2]; d.Granted {
+		t.Errorf("at the end of the time: decision %+v, want a refusal", d)
+	}
+	m.AnnounceVersion(adapterKey(1), 2, at(2000), at(1001))
+	m.RequestGrant(Request{ID: 3, Key: adapterKey(1)}, at(1002))
+	if d := decisions(m)[3]; !d.Granted || d.Version != 1 {
+		t.Errorf("within the later time: decision %+v, want a grant of version 1", d)
+	}
+}
+
 // During a flash crowd, a request that would start after its max wait is refused
 // on arrival, and the refusal carries the expected wait.
 func TestRequestBeyondMaxWaitIsRefusedOnArrival(t *testing.T) {
--- a/internal/policy/grants/types.go
+++ b/internal/policy/grants/types.go
@@ -6,6 +6,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/coldstart"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/ratelimit"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/versionbound"
 )
 
 // Build is one version of an adapter.
@@ -138,6 +139,7 @@
 	MaxLoadingAdapters   int           // Adapters that load on one engine concurrently.
 	LateOrderPeriod      time.Duration // Time for which an engine may carry out an order after the call has failed.
 	FormerVersionPeriod  time.Duration // Time after an announcement during which the former version is granted.
+	VersionBound         time.Duration // Time after an announcement from which no request may begin on the former version.
 	MinModelLoadInterval time.Duration // Minimum time between two model loads.
 	ReloadWindow         time.Duration // An adapter used within this time is reloaded after its former version is unloaded.
 	MaxRecentlyUnloaded  int           // Unloaded adapters that the engine's host keeps cached.
@@ -157,12 +159,11 @@
 		// Running a request that misses its target would also delay the requests
 		// queued behind it past theirs.
 		LatencyTargetFactor: 1,
-		MaxLoadingAdapters:  4, // Limit of the platform's protocol.
-		// The platform lets requests start on the former version until 5 s after
-		// the announcement. The difference covers the propagation of the
-		// announcement and clock skew.
+		MaxLoadingAdapters:  4,                // Limit of the platform's protocol.
 		LateOrderPeriod:     10 * time.Second, // The platform says "seconds".
+		// A request that is granted at the end of the period still has time for its prefill within VersionBound.
 		FormerVersionPeriod: 2500 * time.Millisecond,
+		VersionBound:        versionbound.DefaultBound,
 		// The weight store allows about one model load per engine in 5 s.
 		MinModelLoadInterval: 5 * time.Second,
 		ReloadWindow:         2 * time.Second, // A busy adapter receives several requests in this time.
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
+	"github.com/hyssoptiller/hyssoptiller/internal/millis"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/rendezvous"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/routing"
@@ -118,19 +119,20 @@
 		}
 		if choice.Resident && !rateLimit.Limit.Named && !q.binding.Bound { // Only a grant names the incarnation.
 			// The engine refuses the request if the adapter is no longer loaded, or in another version.
-			return &placement{endpoint: endpoint, announced: r.state.View().Versions[q.call.Adapter]}, 0
+			return &placement{endpoint: endpoint, announced: r.state.View().Versions[q.call.Adapter].Version}, 0
 		}
 		return nil, minRetryAfter
 	}
 	maxWait := q.maxWait(now)
+	announced := r.state.View().Versions[q.call.Adapter].Version
 	prefillMS := float64(q.call.PromptTokens) / r.routing.PrefillTokensPerMS
 	r.sendRates.add(q.service.Name, prefillMS, now)
 	conn.addPending(now, prefillMS, choice.ColdLoadTime > 0)
 	began := time.Now()
 	g, reply, err := conn.requestGrant(q.ctx, schedulerapi.GrantRequest{
 		RequestID: q.call.RequestID, EndpointID: string(endpoint.ID), Incarnation: endpoint.Incarnation,
-		Version: r.state.View().Versions[q.call.Adapter],
-		Model:   q.call.Adapter.Model, Adapter: q.call.Adapter.Adapter,
+		Version: announced, FormerVersionMS: r.formerVersionMS(q.call.Adapter, announced, now),
+		Model: q.call.Adapter.Model, Adapter: q.call.Adapter.Adapter,
 		Parts: q.call.PromptParts, PromptTokens: q.call.PromptTokens, OutputTokens: q.call.OutputTokens, Priority: q.priority(),
 		Continuation: q.binding.Bound,
 		MaxWaitMS:    maxWait.Milliseconds(), LatencyTargetMS: max(q.latencyTarget()-now.Sub(q.arrived), 0).Milliseconds(),
@@ -161,6 +163,11 @@
 		q.addStep(endpoint.ID, "left_meanwhile")
 		return nil, minRetryAfter
 	}
+	if !r.formerVersions.permits(q.call.Adapter, reply.Version, millis.Duration(prefillMS), now) {
+		g.release() // The scheduler does not know the new version, or its reply came late.
+		q.addStep(endpoint.ID, "former_version")
+		return nil, minRetryAfter
+	}
 	software := softwareOf(current, reply.Incarnation)
 	if !q.binding.Permits(software) {
 		g.release() // The engine has started again with other software, or is about to be registered.
@@ -171,6 +178,16 @@
 	return &placement{endpoint: endpoint, grant: g, software: software}, 0
 }
 
+// formerVersionMS returns the time that is left to begin on a version before the announced one, nil if none is announced.
+func (r *Router) formerVersionMS(key catalog.AdapterKey, announced int64, now time.Time) *int64 {
+	if announced == 0 {
+		return nil
+	}
+	by, _ := r.formerVersions.beginBy(key, 0)
+	left := by.Sub(now).Milliseconds()
+	return &left
+}
+
 // maxWait returns how long the request may wait for a grant.
 func (q *request) maxWait(now time.Time) time.Duration {
 	wait := time.Duration(maxWaitFactor*float64(q.latencyTarget())) - now.Sub(q.arrived)
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -44,6 +44,7 @@
 	lastEventID  string                      // ID of the last event sent to the caller.
 	// attemptBegunAt is the time of the first event of the current attempt; zero before it.
 	attemptBegunAt time.Time
+	attempt        *versionAttempt      // Of the current attempt; nil if it concerns no adapter.
 	binding        streamorigin.Binding // Endpoints that the stream may go on at.
 	trial          []string             // Prompt parts that the request is on trial for.
 	strategy       strategy
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -72,6 +72,7 @@
 	crashRecords    *crashRecordStore
 	recordExchange  *recordExchange
 	streamOrigins   *streamOrigins
+	formerVersions  *formerVersions
 	budgets         *retryBudgets
 	streamLengths   *streamLengths
 	stopper         *stopper
@@ -143,6 +144,9 @@
 	r.peers.Digest, r.peers.OnDigest = r.recordExchange.digest, r.recordExchange.compare
 	r.crashRecords.isOwner = func() bool { return r.peers.Owns(crashRecordsKey, 0, time.Now()) }
 	r.crashTracker.OnCounted, r.parts.OnChange = r.crashRecords.publish, r.crashRecords.publish
+	r.formerVersions = newFormerVersions(s.versionBound(), func(key catalog.AdapterKey) catalog.Announcement {
+		return r.state.View().Versions[key]
+	})
 	r.budgets = newRetryBudgets(s.RetryRatio, s.RetryBurst, r.peers.Count)
 	return r
 }
@@ -281,6 +285,7 @@
 			v := r.state.View()
 			r.schedulerConns.sync(ctx, v)
 			r.endpointTracker.sync(v, time.Now())
+			r.formerVersions.update()
 			cold.observe(v, time.Now())
 		case now := <-late.C:
 			r.schedulerConns.checkLate(now)
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"time"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
@@ -161,10 +162,20 @@
 	q.attemptBegunAt = time.Time{}
 	r.endpointTracker.requestStarted(endpoint)
 	began := time.Now()
-	res, resp := r.send(q, p, silenceLimit)
+	ctx, cancel := context.WithCancel(q.ctx)
+	defer cancel()
+	q.attempt = nil
+	if key := q.call.Adapter; q.service.Engine != nil && key.Adapter != "" {
+		q.attempt = r.formerVersions.start(key, p.adapterVersion(), cancel)
+	}
+	res, resp := r.send(ctx, q, p, silenceLimit)
 	if res == resultResponded && resp.stream != nil {
 		res, resp = r.forwardStream(q, resp, silenceLimit), nil
 	}
+	if r.formerVersions.settle(q.attempt) && res == resultBroken {
+		res = resultOutdated
+		r.counters.attemptsOutdated.Inc(1)
+	}
 	now := time.Now()
 	r.endpointTracker.requestEnded(endpoint, func(h *routing.Health) { q.updateHealth(h, res, now.Sub(began), now) })
 	if res == resultBroken || res == resultUnreached {
@@ -186,7 +197,7 @@
 		h.RecordUnreachable(now)
 	case resultBroken, resultFailed:
 		h.RecordFailure(now)
-	case resultNotRun, resultCancelled, resultNoRoom:
+	case resultNotRun, resultCancelled, resultNoRoom, resultOutdated:
 	}
 }
 
@@ -205,7 +216,7 @@
 	switch res {
 	case resultUnreached, resultNotRun, resultMisdirected:
 		return q.possibleRuns == 0 || q.route.Idempotent()
-	case resultBroken, resultFailed:
+	case resultBroken, resultFailed, resultOutdated:
 		return q.route.Idempotent() && q.possibleRuns < q.route.MaxAttempts && len(q.trial) == 0
 	default:
 		return false
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,10 +29,11 @@
 	resultResponded                 // The response is complete, or a stream has started.
 	resultCancelled                 // The caller disconnected or the deadline passed.
 	resultNoRoom                    // The endpoint may have run the request; there is no memory for the response.
+	resultOutdated                  // As resultBroken: it was given up, as it had not begun in time on a former version of its adapter.
 )
 
 // resultNames are the names of the results in the log.
-var resultNames = [...]string{"unreached", "not_run", "misdirected", "failed", "broken", "answered", "left", "no_room"}
+var resultNames = [...]string{"unreached", "not_run", "misdirected", "failed", "broken", "answered", "left", "no_room", "former_version"}
 
 const (
 	// maxBufferedBytes bounds a response that is read completely before it is forwarded.
@@ -53,15 +55,15 @@
 }
 
 // send sends a request to the endpoint of its placement. silenceLimit bounds the wait for the response header; 0
-// sets no limit other than the deadline.
-func (r *Router) send(q *request, p *placement, silenceLimit time.Duration) (result, *response) {
+// sets no limit other than the deadline. The end of ctx ends the attempt, also while the response is read.
+func (r *Router) send(ctx context.Context, q *request, p *placement, silenceLimit time.Duration) (result, *response) {
 	endpoint := p.endpoint
 	upReq := &upstream.Request{
 		ID: q.call.RequestID, Method: q.in.Method, URI: requestURI(q.in), Host: q.in.Host, Header: q.endpointHeader(endpoint.ID, p.adapterVersion()),
 		Pieces: q.body.Pieces(), Sent: q.body.Release, NonIdempotent: !q.route.Idempotent(), MatchResponse: q.matchResponse,
 	}
 	q.body.Retain()
-	upResp, err := r.pool.Do(q.ctx, endpoint.Address, upReq, silenceLimit)
+	upResp, err := r.pool.Do(ctx, endpoint.Address, upReq, silenceLimit)
 	if err != nil {
 		q.addEvidence(endpoint.ID, evidenceOf(err))
 		return q.sendFailed(endpoint.Address, err), nil
--- a/internal/router/settings.go
+++ b/internal/router/settings.go
@@ -1,9 +1,12 @@
 package router
 
 import (
+	"cmp"
 	"time"
 
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/versionbound"
 	"github.com/hyssoptiller/hyssoptiller/internal/settings"
+	"github.com/hyssoptiller/hyssoptiller/platform"
 )
 
 // Settings configures a router.
@@ -26,6 +29,10 @@
 	// EvacuateBound is the time after the start of an evacuation from which no request may reach the failure domain. If it
 	// is not set, defaultEvacuateBound applies, and adapters of lost engines are not replaced ahead of the requests.
 	EvacuateBound settings.OptionalDuration
+	// VersionBound is the time after the announcement of an adapter version from which no request may begin on a former one.
+	// If it is not set, that of PlatformBounds applies, or versionbound.DefaultBound.
+	VersionBound   settings.OptionalDuration
+	PlatformBounds platform.Bounds
 	// Regions are the regions of the failure domains. Endpoints of other domains get no requests that are restricted to
 	// regions.
 	Regions    settings.StringMap
@@ -36,6 +43,11 @@
 // defaultEvacuateBound is the bound of today's deployments.
 const defaultEvacuateBound = 5 * time.Second
 
+// versionBound returns the bound that applies.
+func (s Settings) versionBound() time.Duration {
+	return s.VersionBound.Or(cmp.Or(s.PlatformBounds.Version, versionbound.DefaultBound))
+}
+
 // Check returns an error that lists all invalid settings, or nil.
 func (s Settings) Check() error {
 	var c settings.Checker
@@ -55,5 +67,6 @@
 	c.RequirePositive("drain-bound", s.EndpointDrainBound)
 	c.RequirePositive("config-bound", s.ConfigBound)
 	c.RequirePositive("evacuate-bound", s.EvacuateBound.Or(defaultEvacuateBound))
+	c.RequirePositive("version-bound", s.versionBound())
 	return c.Err()
 }
--- a/internal/router/stream.go
+++ b/internal/router/stream.go
@@ -47,6 +47,9 @@
 			q.addStep(resp.from.endpoint.ID, "event_out_of_order")
 			return resultBroken // The caller has the event, or it belongs to another stream.
 		}
+		if q.attemptBegunAt.IsZero() && r.formerVersions.settle(q.attempt) {
+			return resultBroken // It was given up before.
+		}
 		if q.attemptBegunAt.IsZero() && !r.beginStream(q, resp.from) {
 			q.addStep(resp.from.endpoint.ID, "software_changed")
 			return resultBroken
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -286,10 +286,10 @@
 // the request or ends the grant.
 //
 // The router's view may be newer than the scheduler's. version is the adapter version in the
-// router's view, id is the endpoint ID of the request's incarnation, limit is the rate limit in
+// router's view, formerVersion the time that is left to begin on a former one, nil if the router does not say, id is the endpoint ID of the request's incarnation, limit is the rate limit in
 // the incarnation's last response to the router, and cold is how long the incarnation remains cold.
 func (e *Engine) RequestGrant(
-	request grants.Request, version int64, id catalog.EndpointID, limit ratelimit.Observation, cold time.Duration,
+	request grants.Request, version int64, formerVersion *time.Duration, id catalog.EndpointID, limit ratelimit.Observation, cold time.Duration,
 ) (grants.RequestID, <-chan grants.Decision) {
 	incarnation := request.Incarnation
 	decision := make(chan grants.Decision, 1)
@@ -302,7 +302,11 @@
 		}
 		e.machine.ObserveRateLimit(incarnation, limit)
 		e.machine.ObserveCold(incarnation, cold, now)
-		e.machine.AnnounceVersion(request.Key, version, now)
+		var beginBy time.Time
+		if formerVersion != nil {
+			beginBy = now.Add(*formerVersion)
+		}
+		e.machine.AnnounceVersion(request.Key, version, beginBy, now)
 		e.lastGrantID++
 		request.ID = e.lastGrantID
 		e.waiters[request.ID] = decision
@@ -335,13 +339,13 @@
 
 // ApplyCatalog applies the engine's limits and the adapter versions from the catalog. Nil
 // limits leave the current ones in force.
-func (e *Engine) ApplyCatalog(limits *grants.Limits, versions map[catalog.AdapterKey]int64) {
+func (e *Engine) ApplyCatalog(limits *grants.Limits, versions map[catalog.AdapterKey]catalog.Announcement) {
 	e.update(func(now time.Time) {
 		if limits != nil {
 			e.machine.SetLimits(*limits)
 		}
-		for key, version := range versions {
-			e.machine.AnnounceVersion(key, version, now)
+		for key, a := range versions {
+			e.machine.AnnounceVersion(key, a.Version, e.machine.BeginBy(a), now)
 		}
 	})
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/hyssoptiller/hyssoptiller/internal/catalog"
 	"github.com/hyssoptiller/hyssoptiller/internal/peerconn"
 	"github.com/hyssoptiller/hyssoptiller/internal/policy/grants"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/versionbound"
 	"github.com/hyssoptiller/hyssoptiller/internal/process"
 	"github.com/hyssoptiller/hyssoptiller/internal/relay"
 	"github.com/hyssoptiller/hyssoptiller/internal/settings"
@@ -43,6 +45,15 @@
 	AdminAddress  string // Listen address of the metrics.
 	StoreAddress  string // Address of the key-value store.
 	MemoryMB      int    // Memory of the VM; 0 sets no limit.
+	// VersionBound is the time after the announcement of an adapter version from which no request may begin on a former one.
+	// If it is not set, that of PlatformBounds applies, or versionbound.DefaultBound.
+	VersionBound   settings.OptionalDuration
+	PlatformBounds platform.Bounds
+}
+
+// versionBound returns the bound that applies.
+func (s Settings) versionBound() time.Duration {
+	return s.VersionBound.Or(cmp.Or(s.PlatformBounds.Version, versionbound.DefaultBound))
 }
 
 // Check returns an error that lists all invalid settings, or nil.
@@ -56,6 +67,7 @@
 	c.RequireAddress("admin", s.AdminAddress)
 	c.RequireAddress("store", s.StoreAddress)
 	c.RequireAtLeast("memory-mb", int64(s.MemoryMB), 0)
+	c.RequirePositive("version-bound", s.versionBound())
 	return c.Err()
 }
 
@@ -72,10 +84,12 @@
 func New(s Settings, log *logrus.Entry) *Scheduler {
 	metrics := process.NewMetrics()
 	client := platform.NewEngineClient(s.EngineAddress, s.VM)
+	config := grants.DefaultConfig()
+	config.VersionBound = s.versionBound()
 	counters := NewCounters(metrics.Scope.SubScope("scheduler"))
 	return &Scheduler{
 		settings: s, log: log, metrics: metrics, state: catalog.NewState(),
-		engine: NewEngine(client, grants.DefaultConfig(), s.Service, log, counters),
+		engine: NewEngine(client, config, s.Service, log, counters),
 	}
 }
 
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -51,7 +51,7 @@
 		LatencyTarget: time.Duration(req.LatencyTargetMS) * time.Millisecond,
 		GapTarget:     time.Duration(req.GapTargetMS) * time.Millisecond,
 		ColdLoadTime:  time.Duration(req.LoadMS) * time.Millisecond,
-	}, req.Version, catalog.EndpointID(req.EndpointID), req.RateLimit.Decode(time.Now()), time.Duration(req.ColdMS)*time.Millisecond)
+	}, req.Version, req.FormerVersion(), catalog.EndpointID(req.EndpointID), req.RateLimit.Decode(time.Now()), time.Duration(req.ColdMS)*time.Millisecond)
 	defer e.Release(id)
 	var d grants.Decision
 	select {
--- a/internal/schedulerapi/schedulerapi.go
+++ b/internal/schedulerapi/schedulerapi.go
@@ -28,10 +28,12 @@
 
 // GrantRequest requests the right to run one request on an engine.
 type GrantRequest struct {
-	RequestID       string              `json:"request"`  // For the logs.
-	EndpointID      string              `json:"instance"` // Engine that the router selected.
-	Incarnation     int64               `json:"born"`     // Incarnation of that engine; 0 if unknown.
-	Version         int64               `json:"version"`  // Adapter version in the router's view.
+	RequestID   string `json:"request"`  // For the logs.
+	EndpointID  string `json:"instance"` // Engine that the router selected.
+	Incarnation int64  `json:"born"`     // Incarnation of that engine; 0 if unknown.
+	Version     int64  `json:"version"`  // Adapter version in the router's view.
+	// FormerVersionMS is the time that is left to begin on a version before Version; nil in calls of former builds.
+	FormerVersionMS *int64              `json:"formerVersionMs,omitempty"`
 	Model           string              `json:"model"`
 	Adapter         string              `json:"adapter"`
 	Parts           []grants.PromptPart `json:"parts,omitempty"`
@@ -52,6 +54,18 @@
 	LoadMS int64 `json:"loadMs"`
 }
 
+// FormerVersion returns the time that is left to begin on a version before Version, nil if the call does not say.
+func (r GrantRequest) FormerVersion() *time.Duration {
+	if r.FormerVersionMS == nil {
+		return nil
+	}
+	left := time.Duration(min(max(*r.FormerVersionMS, -maxVersionMS), maxVersionMS)) * time.Millisecond
+	return &left
+}
+
+// maxVersionMS is beyond each bound of a former version.
+const maxVersionMS = int64(time.Hour / time.Millisecond)
+
 // PreloadRequest requests the load of an adapter ahead of its requests. The scheduler responds at once, and drops it
 // after 2 s, or if the engine holds the adapter.
 type PreloadRequest struct {
