router: crash records outlive all processes in the platform's store

Callers saw: after a kill of all routers and schedulers at one moment, five requests with a prompt part that had been held back reached engines again.

Cause: what is held back was kept by routers and by three schedulers, in memory only. Two groups that are restarted apart from each other were taken for two failure domains; a loss of all VMs ends both.

Change: one item of the store has the suspects, the quarantined parts, and the requests with two crashes or in quarantine. The first of the reachable routers writes it when it lacks something; the second and the third read it a moment later and write if the first did not. A router reads it before it is ready, or gets the records of a router that knows them, and refuses requests that it cannot judge, for 2 s at most once it has a configuration.

Why it works: only the store outlives all processes, and what must be refused after a start is little and changes rarely. A change costs one write and two reads however many routers there are; nothing is called while nothing is held (TestCrashRecordsReachTheStore, TestClearedPartsLeaveTheStore).

--- a/internal/crashrecords/records.go
+++ b/internal/crashrecords/records.go
@@ -29,6 +29,8 @@
 
 // Records is the state of requests and prompt parts. Its times are relative, since the clocks of VMs differ.
 type Records struct {
+	// Complete is set by a router that knows what was known before it started.
+	Complete bool      `json:"complete,omitempty"`
 	Requests []Request `json:"requests,omitempty"`
 	Parts    []Part    `json:"parts,omitempty"`
 }
--- a/internal/policy/quarantine/parts.go
+++ b/internal/policy/quarantine/parts.go
@@ -346,7 +346,7 @@
 	case h.State == PartQuarantined && (current != PartQuarantined || until.After(r.until)):
 		t.known[r] = true
 		r.state, r.until, r.onTrial = PartQuarantined, until, false
-	case h.State == PartSuspect && newer:
+	case h.State == PartSuspect && current == PartSuspect && versioned && (newer || until.After(r.until)):
 		r.until = until
 		return false
 	default:
--- a/internal/quota/peers.go
+++ b/internal/quota/peers.go
@@ -75,6 +75,7 @@
 	calledAt         time.Time // Last call.
 	unreachableUntil time.Time // Not selected as a quota owner before this time.
 	refused          bool      // The last call failed because no process listens at the address.
+	former           bool      // A former build, which compares no records.
 }
 
 // Peers holds the other routers and their state. It is safe for concurrent use.
@@ -172,6 +173,9 @@
 	}
 	data, err := p.call(ctx, target, PathPing, req, nil)
 	var reply pingBody
+	if err == nil && req != nil {
+		p.markFormer(target, len(data) == 0)
+	}
 	if err != nil || len(data) == 0 || p.OnDigest == nil {
 		return
 	}
@@ -181,6 +185,15 @@
 	p.OnDigest(target, *reply.Records)
 }
 
+// markFormer records whether a router is of a former build.
+func (p *Peers) markFormer(target Peer, former bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other := p.byVM[target.VM]; other != nil && other.Address == target.Address {
+		other.former = former
+	}
+}
+
 func (p *Peers) digest() string {
 	if p.Digest == nil {
 		return ""
@@ -332,6 +345,7 @@
 type candidate struct {
 	Peer
 	reachable bool
+	former    bool
 	score     uint64
 }
 
@@ -343,10 +357,10 @@
 	scoreOf := func(vm string) uint64 { return rendezvous.Score(hash, rendezvous.Hash(vm)) }
 	var list []candidate
 	if !p.leaving || len(p.byVM) == 0 {
-		list = append(list, candidate{Peer{}, true, scoreOf(p.self)})
+		list = append(list, candidate{Peer: Peer{}, reachable: true, score: scoreOf(p.self)})
 	}
 	for vm, other := range p.byVM {
-		list = append(list, candidate{other.Peer, now.After(other.unreachableUntil), scoreOf(vm)})
+		list = append(list, candidate{other.Peer, now.After(other.unreachableUntil), other.former, scoreOf(vm)})
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
 	return list
@@ -477,6 +491,21 @@
 	return len(reachable) > 0 && reachable[turn%len(reachable)].VM == ""
 }
 
+// RecordsRank returns the place of this router, from 0, in the ranking for a key of the reachable routers that compare records,
+// or -1 if it leaves.
+func (p *Peers) RecordsRank(key string, now time.Time) int {
+	rank := 0
+	for _, c := range p.ranking(key, now) {
+		if c.VM == "" {
+			return rank
+		}
+		if c.reachable && !c.former {
+			rank++
+		}
+	}
+	return -1
+}
+
 // CallAll sends a call to all other routers and waits for their responses. handle is called for
 // each one, one after the other. Failed calls are logged.
 func (p *Peers) CallAll(ctx context.Context, path string, req any, handle func(json.RawMessage)) {
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -23,6 +23,7 @@
 	endpointsDraining tally.Counter // Endpoints that said in a response that they drain.
 	endpointPushbacks tally.Counter // Refusals with a Retry-After of endpoints that were in use.
 	attemptsOutdated  tally.Counter // Attempts that were given up, as they had not begun in time on a former version.
+	recordWrites      tally.Counter // Writes of the crash records to the store.
 	recordExchanges   tally.Counter // Exchanges of crash records with other routers.
 	partsRefused      tally.Counter // Requests refused because of a prompt part on which engines crash.
 	evacuatedDomains  tally.Gauge   // Failure domains whose evacuation key stands.
@@ -61,6 +62,7 @@
 		preloadsOrdered:   scope.Counter("preloads_ordered_total"),
 		preloadsFailed:    scope.Counter("preloads_failed_total"),
 		attemptsOutdated:  scope.Counter("former_version_given_up_total"),
+		recordWrites:      scope.Counter("crash_record_writes_total"),
 		recordExchanges:   scope.Counter("crash_record_exchanges_total"),
 		streamsUnrecorded: scope.Counter("streams_unrecorded_total"),
 	}
--- a/internal/router/handler.go
+++ b/internal/router/handler.go
@@ -77,6 +77,10 @@
 		r.refuse(q, refusal.CodeNotReady, "No configuration is known yet.", notReadyRetryAfter)
 		return false
 	}
+	if !r.storedRecords.ready(q.arrived) {
+		r.refuse(q, refusal.CodeNotReady, "It is not known yet which requests crash endpoints.", notReadyRetryAfter)
+		return false
+	}
 	q.route = q.config.Route(hostOnly(q.in.Host), q.in.URL.EscapedPath())
 	if q.route == nil {
 		r.refuse(q, refusal.CodeUnknownRoute, "No route matches host and path.", 0)
--- a/internal/router/recordexchange.go
+++ b/internal/router/recordexchange.go
@@ -32,11 +32,16 @@
 	records func() crashrecords.Records
 	adopt   func(from string, r crashrecords.Records)
 	count   func() // Called for each exchange; may be nil.
+	// complete reports whether this router knows what was known before it started; onComplete is called after the records of a
+	// router that does were adopted.
+	complete   func() bool
+	onComplete func()
 
 	mu sync.Mutex
 	// settled are the digests after the last exchange with a router, by VM. They may differ for good: a router
 	// does not adopt crashes of a request that runs there without a crash.
 	settled map[string]digestPair
+	found   int       // Routers that were found.
 	own     string    // Digest that is sent with pings.
 	ownAt   time.Time // When it was computed.
 }
@@ -69,14 +74,40 @@
 	}
 }
 
-// exchange sends the records of this router to another one and adopts its records.
-func (x *recordExchange) exchange(other quota.Peer) {
+// ownRecords returns the records of this router for another one.
+func (x *recordExchange) ownRecords() crashrecords.Records {
+	complete := x.complete() // Records that are read afterwards include those of before.
+	r := x.records()
+	r.Complete = complete
+	return r
+}
+
+// receive adopts the records of another router.
+func (x *recordExchange) receive(from string, r crashrecords.Records) {
+	x.adopt(from, r)
+	if r.Complete {
+		x.onComplete()
+	}
+}
+
+// exchangeFirst exchanges records with a router that was found, unless maxFetches routers were asked before: a router that has
+// started learns what the others hold without waiting for its pings. It reports whether nothing remains to be done.
+func (x *recordExchange) exchangeFirst(other quota.Peer) bool {
+	x.mu.Lock()
+	x.found++
+	enough := x.found > maxFetches
+	x.mu.Unlock()
+	return enough || x.exchange(other)
+}
+
+// exchange sends the records of this router to another one and adopts its records. It reports whether that succeeded.
+func (x *recordExchange) exchange(other quota.Peer) bool {
 	var reply crashrecords.Records
-	if err := x.peers.Call(context.Background(), other, pathExchange, x.records(), &reply); err != nil {
+	if err := x.peers.Call(context.Background(), other, pathExchange, x.ownRecords(), &reply); err != nil {
 		x.log.WithError(err).WithField("peer", other.VM).Info("crash records not exchanged with router")
-		return
+		return false
 	}
-	x.adopt(other.VM, reply)
+	x.receive(other.VM, reply)
 	if x.count != nil {
 		x.count()
 	}
@@ -84,6 +115,7 @@
 	x.log.WithFields(logrus.Fields{
 		"event": "crash_records_exchanged", "peer": other.VM, "parts": len(reply.Parts), "requests": len(reply.Requests),
 	}).Info("crash records exchanged with router")
+	return true
 }
 
 // settle records the digests after an exchange.
@@ -103,9 +135,9 @@
 		if !schedulerapi.DecodeRequest(w, req, maxExchangeBytes, &in) {
 			return
 		}
-		x.adopt(req.RemoteAddr, in)
+		x.receive(req.RemoteAddr, in)
 		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(x.records()); err != nil {
+		if err := json.NewEncoder(w).Encode(x.ownRecords()); err != nil {
 			x.log.WithError(err).Info("crash records not sent")
 		}
 	})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,6 +71,7 @@
 	parts           *partQuarantine
 	crashRecords    *crashRecordStore
 	recordExchange  *recordExchange
+	storedRecords   *storedRecords
 	streamOrigins   *streamOrigins
 	formerVersions  *formerVersions
 	budgets         *retryBudgets
@@ -114,8 +115,10 @@
 	r.crashTracker = newCrashTracker(r.peers, log)
 	r.parts = newPartQuarantine(r.peers, log)
 	r.peers.OnFound = func(p quota.Peer) {
-		r.parts.fetch(p)
-		r.crashTracker.fetch(p)
+		if !r.recordExchange.exchangeFirst(p) { // The router may be of a former build.
+			r.parts.fetch(p)
+			r.crashTracker.fetch(p)
+		}
 	}
 	r.streamOrigins = newStreamOrigins(s.SchedulerPort, transport, log)
 	r.streamOrigins.updateRouter(platform.RouterRegistration{VM: s.VM, Address: s.PeersAddress, FailureDomain: s.FailureDomain}, true)
@@ -140,10 +143,19 @@
 	r.crashRecords.records, r.crashRecords.adopt = records, adopt
 	r.recordExchange = newRecordExchange(r.peers, log)
 	r.recordExchange.records, r.recordExchange.adopt = records, adopt
+	r.storedRecords = newStoredRecords(r.store, log)
+	r.storedRecords.records, r.storedRecords.adopt = records, adopt
+	r.storedRecords.rank = func() int { return r.peers.RecordsRank(crashRecordsKey, time.Now()) }
+	r.storedRecords.counted = func() { r.counters.recordWrites.Inc(1) }
+	r.recordExchange.complete, r.recordExchange.onComplete = r.storedRecords.isComplete, r.storedRecords.markComplete
 	r.recordExchange.count = func() { r.counters.recordExchanges.Inc(1) }
 	r.peers.Digest, r.peers.OnDigest = r.recordExchange.digest, r.recordExchange.compare
 	r.crashRecords.isOwner = func() bool { return r.peers.Owns(crashRecordsKey, 0, time.Now()) }
-	r.crashTracker.OnCounted, r.parts.OnChange = r.crashRecords.publish, r.crashRecords.publish
+	publish := func() {
+		r.crashRecords.publish()
+		r.storedRecords.notify()
+	}
+	r.crashTracker.OnCounted, r.parts.OnChange = publish, publish
 	r.formerVersions = newFormerVersions(s.versionBound(), func(key catalog.AdapterKey) catalog.Announcement {
 		return r.state.View().Versions[key]
 	})
@@ -193,6 +205,8 @@
 	base.Add(service{"sync", r.syncLoop})
 	base.Add(service{"replacement", (&replacer{router: r, services: make(map[string]*serviceReplacement)}).run})
 	base.Add(service{"crash records", r.crashRecords.run})
+	r.storedRecords.await()
+	base.Add(service{"stored crash records", r.storedRecords.run})
 	frontGrace := r.settings.ShutdownGrace - r.stopper.acceptDuration() - drainMargin
 	front := process.NewSupervisor("front", r.log, frontGrace)
 	registration := platform.RouterRegistration{
@@ -319,6 +333,8 @@
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 	case !v.Synced:
 		http.Error(w, "no list of endpoints yet", http.StatusServiceUnavailable)
+	case !r.storedRecords.ready(time.Now()):
+		http.Error(w, "no crash records yet", http.StatusServiceUnavailable)
 	default:
 		_, _ = io.WriteString(w, "ready\n")
 	}
--- /dev/null
+++ b/internal/router/storedrecords_test.go
@@ -0,0 +1,256 @@
+package router
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/hyssoptiller/hyssoptiller/internal/crashrecords"
+	"github.com/hyssoptiller/hyssoptiller/internal/policy/quarantine"
+	"github.com/hyssoptiller/hyssoptiller/platform"
+)
+
+// fakeItem is an item of a store.
+type fakeItem struct {
+	mu            sync.Mutex
+	value         []byte
+	revision      int64
+	epoch         int64
+	down          bool // Calls are not carried out.
+	loseResponses int  // Writes that are carried out without a response.
+	reads, writes int
+}
+
+func (i *fakeItem) ReadCrashRecords(context.Context) ([]byte, platform.ItemPosition, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.reads++
+	if i.down {
+		return nil, platform.ItemPosition{}, errors.New("down")
+	}
+	return i.value, platform.ItemPosition{Epoch: i.epoch, Revision: i.revision}, nil
+}
+
+func (i *fakeItem) WriteCrashRecords(_ context.Context, value []byte, last platform.ItemPosition) (platform.ItemPosition, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.writes++
+	switch {
+	case i.down:
+		return platform.ItemPosition{}, errors.New("down")
+	case last != platform.ItemPosition{Epoch: i.epoch, Revision: i.revision}:
+		return platform.ItemPosition{}, platform.ErrConflict
+	}
+	i.value, i.revision = value, i.revision+1
+	if i.loseResponses > 0 {
+		i.loseResponses--
+		return platform.ItemPosition{}, errors.New("no response")
+	}
+	return platform.ItemPosition{Epoch: i.epoch, Revision: i.revision}, nil
+}
+
+func (i *fakeItem) Epoch() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.epoch
+}
+
+func (i *fakeItem) set(change func(*fakeItem)) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	change(i)
+}
+
+// holds reports whether a process that starts now would hold a part in quarantine.
+func (i *fakeItem) holds(part string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	stored, err := crashrecords.DecodeStored(i.value)
+	if err != nil {
+		return false
+	}
+	for _, p := range stored.Records(time.Now()).Parts {
+		if p.Part == part && p.State == quarantine.PartQuarantined {
+			return true
+		}
+	}
+	return false
+}
+
+// recordsRouter is what storedRecords needs of a router.
+type recordsRouter struct {
+	*storedRecords
+	mu      sync.Mutex
+	tracker *quarantine.PartTracker
+}
+
+// startRecords starts the stored records of a router, which ends with the context.
+func startRecords(ctx context.Context, item *fakeItem, rank int) *recordsRouter {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &recordsRouter{
+		storedRecords: newStoredRecords(item, logrus.NewEntry(log)), tracker: quarantine.NewPartTracker(quarantine.DefaultPartLimits()),
+	}
+	r.records = func() crashrecords.Records {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return crashrecords.Records{Parts: crashrecords.EncodeParts(r.tracker.Known(time.Now()))}
+	}
+	r.adopt = func(_ string, in crashrecords.Records) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, p := range in.Parts {
+			r.tracker.Apply(p.Decode(), time.Now())
+		}
+	}
+	r.rank = func() int { return rank }
+	r.await()
+	go func() { _ = r.run(ctx) }() // Ends with ctx.
+	return r
+}
+
+// hold puts a part in quarantine, and returns its state.
+func (r *recordsRouter) hold(part string) quarantine.HeldPart {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Suspect(quarantine.Suspicion{Part: part, Since: time.Now()}, time.Now())
+	var held []quarantine.HeldPart
+	for len(held) == 0 {
+		held = r.tracker.RecordTrialCrash([]string{part}, time.Now())
+	}
+	r.notify()
+	return held[0]
+}
+
+func (r *recordsRouter) apply(h quarantine.HeldPart) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Apply(h, time.Now())
+	r.notify()
+}
+
+// Guards against records that are not in the store when all processes end: whichever store and routers fail in between, a
+// part in quarantine is stored soon, with a bounded number of calls.
+func TestCrashRecordsReachTheStore(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		before   func(*fakeItem) // Before the part is found.
+		after    func(*fakeItem) // A second after it.
+		noFirst  bool            // The first writer does nothing.
+		within   time.Duration
+		maxCalls int // Reads and writes from when the part is found.
+	}{
+		{"usual", nil, nil, false, 200 * time.Millisecond, 3},
+		{"first writer cannot write", nil, nil, true, 3 * time.Second, 3},
+		{"another record was written", func(i *fakeItem) { i.revision, i.value = 7, []byte(`{"parts":[]}`) }, nil, false, time.Second, 6},
+		{"a broken value", func(i *fakeItem) { i.value = []byte("odd") }, nil, false, time.Second, 3},
+		{"store away", func(i *fakeItem) { i.down = true }, func(i *fakeItem) { i.down = false }, false, 3 * time.Second, 10},
+		{"response lost", func(i *fakeItem) { i.loseResponses = 1 }, nil, false, 3 * time.Second, 6},
+		{"restored", nil, func(i *fakeItem) { i.value, i.revision, i.epoch = nil, 0, 2 }, false, 4 * time.Second, 9},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				item := &fakeItem{epoch: 1}
+				var routers []*recordsRouter
+				for rank := range 5 {
+					if rank > 0 || !c.noFirst {
+						routers = append(routers, startRecords(ctx, item, rank))
+					}
+				}
+				time.Sleep(time.Second)
+				if c.before != nil {
+					item.set(c.before)
+				}
+				reads := item.reads
+				held := routers[0].hold("bad")
+				for _, r := range routers[1:] {
+					r.apply(held)
+				}
+				if c.after != nil {
+					time.Sleep(time.Second)
+					item.set(c.after)
+				}
+				time.Sleep(c.within)
+				if !item.holds("bad") {
+					t.Fatalf("the store does not have the part %s after it was found", c.within)
+				}
+				time.Sleep(10 * time.Second)
+				if calls := item.reads - reads + item.writes; calls > c.maxCalls {
+					t.Errorf("calls = %d, want at most %d", calls, c.maxCalls)
+				}
+			})
+		})
+	}
+}
+
+// A router that starts holds back what the store has before it judges requests. Without the store it waits for another router,
+// and for a bounded time if there is none.
+func TestRouterThatStartsAwaitsCrashRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		item := &fakeItem{epoch: 1}
+		startRecords(ctx, item, 0).hold("bad")
+		time.Sleep(time.Second)
+
+		started := startRecords(ctx, item, 0)
+		synctest.Wait()
+		if !started.ready(time.Now()) || len(started.records().Parts) != 1 {
+			t.Errorf("router that reads the store: ready %t with %d parts, want ready with one", started.ready(time.Now()), len(started.records().Parts))
+		}
+		item.set(func(i *fakeItem) { i.down = true })
+		told, alone := startRecords(ctx, item, 0), startRecords(ctx, item, 0)
+		synctest.Wait()
+		if told.ready(time.Now()) || alone.ready(time.Now()) {
+			t.Error("routers without the store are ready at once, want them to wait")
+		}
+		told.markComplete()
+		if !told.ready(time.Now()) {
+			t.Error("router that another one has told is not ready")
+		}
+		time.Sleep(recordsWait - time.Millisecond)
+		if alone.ready(time.Now()) {
+			t.Errorf("router without the store and others is ready before %s", recordsWait)
+		}
+		time.Sleep(time.Millisecond)
+		if !alone.ready(time.Now()) {
+			t.Errorf("router without the store and others is not ready after %s", recordsWait)
+		}
+	})
+}
+
+// Nothing is written while nothing is held, and a cleared part leaves the store.
+func TestClearedPartsLeaveTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		item := &fakeItem{epoch: 1}
+		r := startRecords(ctx, item, 0)
+		time.Sleep(time.Minute)
+		if item.reads != 1 || item.writes != 0 {
+			t.Errorf("calls while nothing is held: %d reads and %d writes, want one read", item.reads, item.writes)
+		}
+		r.mu.Lock()
+		r.tracker.Suspect(quarantine.Suspicion{Part: "sound", Since: time.Now()}, time.Now())
+		r.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		if len(item.value) == 0 {
+			t.Fatal("the suspect is not stored")
+		}
+		r.mu.Lock()
+		r.tracker.RecordFinish([]string{"sound"}, time.Now())
+		r.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		if len(item.value) > 0 {
+			t.Errorf("stored after the part was cleared: %s, want nothing", item.value)
+		}
+	})
+}
