quarantine: routers with the same parts list them in the same order

Known sorted by the remaining time, which differs by milliseconds between routers. With more parts than one call holds, the first 256 of them differed, so that digests stayed different and routers went on exchanging records. Found by reading; no run showed it. With up to 256 parts nothing changes.

--- a/internal/policy/quarantine/parts.go
+++ b/internal/policy/quarantine/parts.go
@@ -298,7 +298,8 @@
 }
 
 // Known returns the parts in quarantine, then the suspects, then those that were cleared within RecordLifetime: a router
-// that still suspects one of these must learn of it.
+// that still suspects one of these must learn of it. Routers that know the same parts return them in the same order, so that
+// the first of them are the same too.
 func (t *PartTracker) Known(now time.Time) []HeldPart {
 	var out []HeldPart
 	for r := range t.known {
@@ -311,7 +312,7 @@
 	}
 	rank := map[PartState]int{PartQuarantined: 0, PartSuspect: 1, PartCleared: 2}
 	slices.SortFunc(out, func(a, b HeldPart) int {
-		return cmp.Or(cmp.Compare(rank[a.State], rank[b.State]), cmp.Compare(b.Remaining, a.Remaining), cmp.Compare(a.Part, b.Part))
+		return cmp.Or(cmp.Compare(rank[a.State], rank[b.State]), cmp.Compare(a.Part, b.Part))
 	})
 	return out
 }
