grants, router: each of several adapter versions counts from its announcement

Callers could see: while versions 2 and 3 of an adapter were announced within seconds, a request could begin on version 1 up to 5 s after the announcement of version 3.

Cause: the time to begin on a former version was kept for the latest announcement alone.

Evidence: TestVersionsInSeriesDoNotProlongFormerOne failed before: version 1 was granted after the time of version 2.

Change: the latest eight announcements of an adapter are kept; a former version counts from the first one after it.

--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -40,6 +40,23 @@
 	Version int64
 	Since   time.Time // The version was announced after this time; zero if that is not known.
 	ReadAt  time.Time // When this process read it.
+	// Earlier are the announcements of versions before, the latest maxEarlierVersions of them, oldest first. Each version is in
+	// force from its own announcement on.
+	Earlier []Announcement
+}
+
+// maxEarlierVersions bounds the announcements that are kept of one adapter. Versions that come in quicker succession
+// than this within the time for which a former one may serve are rare.
+const maxEarlierVersions = 8
+
+// FirstAfter returns the first announcement of a version after the given one. ok is false if there is none.
+func (a Announcement) FirstAfter(version int64) (first Announcement, ok bool) {
+	for _, e := range a.Earlier {
+		if e.Version > version {
+			return e, true
+		}
+	}
+	return a, a.Version > version
 }
 
 // FindEndpoint returns a service's endpoint by its ID, or nil.
@@ -157,10 +174,16 @@
 func (s *State) SetVersion(v AdapterVersion, since time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if v.Version <= s.versions[v.AdapterKey].Version {
+	last := s.versions[v.AdapterKey]
+	if v.Version <= last.Version {
 		return false
 	}
-	s.versions[v.AdapterKey] = Announcement{Version: v.Version, Since: since, ReadAt: s.now()}
+	next := Announcement{Version: v.Version, Since: since, ReadAt: s.now()}
+	if last.Version > 0 {
+		next.Earlier = append(slices.Clone(last.Earlier), Announcement{Version: last.Version, Since: last.Since, ReadAt: last.ReadAt})
+		next.Earlier = next.Earlier[max(len(next.Earlier)-maxEarlierVersions, 0):]
+	}
+	s.versions[v.AdapterKey] = next
 	s.invalidate()
 	return true
 }
--- a/internal/policy/grants/machine.go
+++ b/internal/policy/grants/machine.go
@@ -45,6 +45,15 @@
 	prefillMS    float64 // At normal speed.
 }
 
+// successor is an announced version of an adapter, and the time by which requests must begin on a version before it.
+type successor struct {
+	version int64
+	beginBy time.Time
+}
+
+// maxSuccessors bounds the announced versions that are kept of one adapter.
+const maxSuccessors = 8
+
 // activeGrant is a grant that is not released yet.
 type activeGrant struct {
 	request   Request
@@ -57,8 +66,8 @@
 type Machine struct {
 	config           Config
 	limits           Limits
-	announced        map[catalog.AdapterKey]int64     // Newest announced versions.
-	beginBy          map[catalog.AdapterKey]time.Time // Until when requests must begin on the versions before these.
+	announced        map[catalog.AdapterKey]int64       // Newest announced versions.
+	succession       map[catalog.AdapterKey][]successor // Announcements of these and of versions before, oldest first.
 	alive            bool
 	draining         bool // Stays set until the next incarnation.
 	incarnation      int64
@@ -99,7 +108,7 @@
 // New returns a Machine for an engine that has not reported yet.
 func New(config Config) *Machine {
 	return &Machine{
-		config: config, announced: make(map[catalog.AdapterKey]int64), beginBy: make(map[catalog.AdapterKey]time.Time), adapters: make(map[catalog.AdapterKey]*adapter),
+		config: config, announced: make(map[catalog.AdapterKey]int64), succession: make(map[catalog.AdapterKey][]successor), adapters: make(map[catalog.AdapterKey]*adapter),
 		reloads: make(map[catalog.AdapterKey]time.Time),
 		grants:  make(map[RequestID]*activeGrant), prompts: newPromptCache(0), meanRunTime: initialRunTime, needsReport: true,
 		prefills: newPrefillBacklog(config.PrefillTokensPerMS), demands: newDemands(),
@@ -121,8 +130,8 @@
 // versions are ignored. beginBy is zero if it is not known. Each process knows since when the version may have been announced, so that the latest of their
 // times holds.
 func (m *Machine) AnnounceVersion(key catalog.AdapterKey, version int64, beginBy, now time.Time) {
-	if version == m.announced[key] && beginBy.After(m.beginBy[key]) {
-		m.beginBy[key] = beginBy
+	if s := m.succession[key]; version == m.announced[key] && len(s) > 0 && beginBy.After(s[len(s)-1].beginBy) {
+		s[len(s)-1].beginBy = beginBy
 	}
 	if version <= m.announced[key] {
 		return
@@ -130,7 +139,9 @@
 	if beginBy.IsZero() {
 		beginBy = m.BeginBy(catalog.Announcement{ReadAt: now})
 	}
-	m.announced[key], m.beginBy[key] = version, beginBy
+	m.announced[key] = version
+	s := append(m.succession[key], successor{version, beginBy})
+	m.succession[key] = s[max(len(s)-maxSuccessors, 0):]
 	if a := m.adapters[key]; a != nil && a.version < version && a.staleSince.IsZero() {
 		a.staleSince = now
 	}
@@ -509,7 +520,17 @@
 	if a == nil || a.loading || a.unloading {
 		return false
 	}
-	return a.staleSince.IsZero() || now.Sub(a.staleSince) < m.config.FormerVersionPeriod && a.activeGrants > 0 && now.Before(m.beginBy[key])
+	return a.staleSince.IsZero() || now.Sub(a.staleSince) < m.config.FormerVersionPeriod && a.activeGrants > 0 && now.Before(m.beginBy(key, a.version))
+}
+
+// beginBy returns the time by which requests must begin on a former version: that of the first version after it.
+func (m *Machine) beginBy(key catalog.AdapterKey, version int64) time.Time {
+	for _, s := range m.succession[key] {
+		if s.version > version {
+			return s.beginBy
+		}
+	}
+	return time.Time{}
 }
 
 // beginsInTime reports whether a request with a prefill, of a duration at normal speed, begins in time if the resident version
@@ -517,7 +538,7 @@
 func (m *Machine) beginsInTime(key catalog.AdapterKey, prefillMS float64, now time.Time) bool {
 	a := m.adapters[key]
 	return a == nil || a.staleSince.IsZero() ||
-		versionbound.BeginsInTime(m.beginBy[key], now, m.prefills.backlogMS()/m.prefills.slowdown+prefillMS)
+		versionbound.BeginsInTime(m.beginBy(key, a.version), now, m.prefills.backlogMS()/m.prefills.slowdown+prefillMS)
 }
 
 func (m *Machine) grant(q *queuedRequest, now time.Time) {
--- a/internal/policy/grants/machine_test.go
+++ b/internal/policy/grants/machine_test.go
@@ -311,6 +311,25 @@
 	}
 }
 
+// Guards against a further version that prolongs the time to begin on the first of several former ones: each version counts from
+// its own announcement.
+func TestVersionsInSeriesDoNotProlongFormerOne(t *testing.T) {
+	m, r := newTestMachine(2), emptyReport()
+	m.RequestGrant(Request{ID: 1, Key: adapterKey(1)}, at(0))
+	carryOutOrders(t, m, adapterKey(1), &r, at(1))
+	decisions(m)
+	m.AnnounceVersion(adapterKey(1), 2, at(1100), at(100))
+	m.AnnounceVersion(adapterKey(1), 3, at(2000), at(1000))
+	m.RequestGrant(Request{ID: 2, Key: adapterKey(1)}, at(1050))
+	if d := decisions(m)[2]; !d.Granted {
+		t.Errorf("within the time of version 2: decision %+v, want a grant", d)
+	}
+	m.RequestGrant(Request{ID: 3, Key: adapterKey(1)}, at(1100))
+	if d := decisions(m)[3]; d.Granted {
+		t.Errorf("after the time of version 2: decision %+v, want a refusal", d)
+	}
+}
+
 // The time that a router gives to begin on a former version holds if it knows better since when the new one is announced; a router
 // that does not say changes nothing.
 func TestLatestTimeToBeginOnFormerVersionHolds(t *testing.T) {
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -183,7 +183,7 @@
 	if announced == 0 {
 		return nil
 	}
-	by, _ := r.formerVersions.beginBy(key, 0)
+	by, _ := r.formerVersions.beginBy(key, announced-1)
 	left := by.Sub(now).Milliseconds()
 	return &left
 }
--- a/internal/router/formerversion.go
+++ b/internal/router/formerversion.go
@@ -35,8 +35,8 @@
 
 // beginBy returns the time by which a request must begin on a version. ok is false if no newer one is announced.
 func (f *formerVersions) beginBy(key catalog.AdapterKey, version int64) (by time.Time, ok bool) {
-	a := f.announce(key)
-	return versionbound.BeginBy(f.bound, a.Since, a.ReadAt), a.Version > version
+	a, ok := f.announce(key).FirstAfter(version)
+	return versionbound.BeginBy(f.bound, a.Since, a.ReadAt), ok
 }
 
 // permits reports whether a request may be sent now to begin on a version. prefill is the time of its prefill at normal
--- a/internal/router/formerversion_test.go
+++ b/internal/router/formerversion_test.go
@@ -57,6 +57,25 @@
 	}
 }
 
+// Guards against a further version that prolongs the time to begin on the first of several former ones.
+func TestVersionsInSeriesAreEachInForceInTime(t *testing.T) {
+	state := catalog.NewState()
+	key := catalog.AdapterKey{Model: "base", Adapter: "a1"}
+	began := time.Now()
+	for v := int64(1); v <= 20; v++ {
+		state.SetVersion(catalog.AdapterVersion{AdapterKey: key, Version: v}, began.Add(time.Duration(v)*time.Second))
+	}
+	f := newFormerVersions(5*time.Second, func(key catalog.AdapterKey) catalog.Announcement { return state.View().Versions[key] })
+	for version, want := range map[int64]bool{13: false, 14: true, 19: true, 20: true} {
+		if got := f.permits(key, version, 0, began.Add(19*time.Second)); got != want {
+			t.Errorf("version %d, 19 s after version 0: permitted = %t, want %t", version, got, want)
+		}
+	}
+	if n := len(state.View().Versions[key].Earlier); n > 8 {
+		t.Errorf("announcements kept = %d, want at most 8", n)
+	}
+}
+
 // Guards against a grant of a former version that is read late, or of a scheduler that does not know the new version.
 func TestGrantOfFormerVersionIsNotUsedTooLate(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -345,6 +345,9 @@
 			e.machine.SetLimits(*limits)
 		}
 		for key, a := range versions {
+			for _, earlier := range a.Earlier {
+				e.machine.AnnounceVersion(key, earlier.Version, e.machine.BeginBy(earlier), now)
+			}
 			e.machine.AnnounceVersion(key, a.Version, e.machine.BeginBy(a), now)
 		}
 	})
