--- a/internal/router/storedrecords_test.go
+++ b/internal/router/storedrecords_test.go
@@ -67,6 +67,20 @@
 	change(i)
 }
 
+// calls returns how many calls were made.
+func (i *fakeItem) calls() (reads, writes int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.reads, i.writes
+}
+
+// stored returns the value.
+func (i *fakeItem) stored() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return string(i.value)
+}
+
 // holds reports whether a process that starts now would hold a part in quarantine.
 func (i *fakeItem) holds(part string) bool {
 	i.mu.Lock()
@@ -169,7 +183,7 @@
 				if c.before != nil {
 					item.set(c.before)
 				}
-				reads := item.reads
+				readBefore, _ := item.calls()
 				held := routers[0].hold("bad")
 				for _, r := range routers[1:] {
 					r.apply(held)
@@ -183,8 +197,8 @@
 					t.Fatalf("the store does not have the part %s after it was found", c.within)
 				}
 				time.Sleep(10 * time.Second)
-				if calls := item.reads - reads + item.writes; calls > c.maxCalls {
-					t.Errorf("calls = %d, want at most %d", calls, c.maxCalls)
+				if reads, writes := item.calls(); reads-readBefore+writes > c.maxCalls {
+					t.Errorf("calls = %d, want at most %d", reads-readBefore+writes, c.maxCalls)
 				}
 			})
 		})
@@ -235,22 +249,22 @@
 		item := &fakeItem{epoch: 1}
 		r := startRecords(ctx, item, 0)
 		time.Sleep(time.Minute)
-		if item.reads != 1 || item.writes != 0 {
-			t.Errorf("calls while nothing is held: %d reads and %d writes, want one read", item.reads, item.writes)
+		if reads, writes := item.calls(); reads != 1 || writes != 0 {
+			t.Errorf("calls while nothing is held: %d reads and %d writes, want one read", reads, writes)
 		}
 		r.mu.Lock()
 		r.tracker.Suspect(quarantine.Suspicion{Part: "sound", Since: time.Now()}, time.Now())
 		r.mu.Unlock()
 		time.Sleep(5 * time.Second)
-		if len(item.value) == 0 {
+		if item.stored() == "" {
 			t.Fatal("the suspect is not stored")
 		}
 		r.mu.Lock()
 		r.tracker.RecordFinish([]string{"sound"}, time.Now())
 		r.mu.Unlock()
 		time.Sleep(5 * time.Second)
-		if len(item.value) > 0 {
-			t.Errorf("stored after the part was cleared: %s, want nothing", item.value)
+		if item.stored() != "" {
+			t.Errorf("stored after the part was cleared: %s, want nothing", item.stored())
 		}
 	})
 }
