--- a/internal/crashrecords/records.go
+++ b/internal/crashrecords/records.go
@@ -40,7 +40,7 @@
 const digestMargin = 2 * time.Second
 
 // Digest returns a short digest of the parts and of the requests in quarantine, "" if there are none. Processes with equal
-// digests have nothing to tell each other.
+// digests need not exchange records.
 func (r Records) Digest() string {
 	var lines []string
 	for _, p := range r.Parts {
