--- a/internal/crashrecords/doc.go
+++ b/internal/crashrecords/doc.go
@@ -6,7 +6,7 @@
 //
 //   - A stored record never makes a known one milder, except that a suspicion of a prompt part ends when a router
 //     has cleared it.
-//   - What is stored in the platform's store never lacks, for longer than a write takes, what a router holds back, unless the
-//     store is away.
+//   - A router that holds back something that the platform's store lacks goes on trying to store it. The store lacks it
+//     until then, and while the store is away.
 //   - A Server holds a bounded number of records, each for a bounded time.
 package crashrecords
