quota: a request is admitted if its bucket is handed over meanwhile

Cause: two routers had just started, and only one knew the other. By the log, within one millisecond the first one became the owner of the quota for its first request, and the second one, which ranks first, took the bucket over for its own. The first request had not reached the bucket yet, found that it was no longer there and was refused. The request after it, 40 ms later, was admitted.

Change: such a request is decided once more. It is passed on to the owner if that one is known by now, as calls of other routers are, and otherwise takes from a new bucket, as the request after it does. It is tried once; while a bucket is not settled, it admits nothing, as before.

TestRequestIsAdmittedIfBucketIsHandedOverMeanwhile hands the bucket over in that moment: it failed 3 of 3 times before in both cases, and passed 20 of 20 times with -race after.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -111,7 +111,7 @@
 	}
 	for _, owner := range l.peers.owners(o.Name, now) {
 		if owner.VM == "" {
-			taken, wait := l.takeLocal(ctx, o, units)
+			taken, wait := l.takeOwned(ctx, o, l.request(o.Name, units))
 			return Decision{Admitted: taken, RetryAfter: wait}
 		}
 		var reply takeReply
@@ -173,18 +173,39 @@
 	return Decision{Admitted: taken, RetryAfter: wait, Isolated: true}
 }
 
-// takeLocal takes units from a bucket that this router owns.
-func (l *Ledger) takeLocal(ctx context.Context, o *catalog.Organisation, units float64) (bool, time.Duration) {
+// takeOwned takes units from a bucket that this router owns. If another router takes the bucket over meanwhile, the units are
+// taken there, or from a new bucket of this router while it does not know the other one.
+func (l *Ledger) takeOwned(ctx context.Context, o *catalog.Organisation, req quotaRequest) (bool, time.Duration) {
+	taken, wait, moved := l.takeLocal(ctx, o, req.Units)
+	if !moved {
+		return taken, wait
+	}
+	var reply takeReply
+	if passed, err := l.forward(ctx, PathTake, req, &reply); err != nil {
+		return false, forwardTimeout // The owner may have taken the units.
+	} else if passed {
+		return reply.Taken, time.Duration(reply.WaitMS) * time.Millisecond
+	}
+	if _, ahead := l.ownerAhead(o.Name); ahead {
+		return false, transferRetryInterval
+	}
+	taken, wait, _ = l.takeLocal(ctx, o, req.Units)
+	return taken, wait
+}
+
+// takeLocal takes units from a bucket that this router owns. moved reports that another router has taken the bucket over meanwhile.
+func (l *Ledger) takeLocal(ctx context.Context, o *catalog.Organisation, units float64) (taken bool, wait time.Duration, moved bool) {
 	owned := l.ownedBucket(ctx, o)
 	owned.waitReady()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !owned.settled || l.buckets[o.Name] != owned {
-		return false, transferRetryInterval
+	if moved = l.buckets[o.Name] != owned; moved || !owned.settled {
+		return false, transferRetryInterval, moved
 	}
 	now := time.Now()
 	owned.bucket.SetLimit(o.Rate, o.Burst, now)
-	return owned.bucket.Take(units, now)
+	taken, wait = owned.bucket.Take(units, now)
+	return taken, wait, false
 }
 
 // ownerAhead returns the reachable router that owns an organisation's quota before this one. ok is false if there is none, or if
@@ -254,7 +275,7 @@
 		case passed && err != nil:
 			reply = takeReply{WaitMS: forwardTimeout.Milliseconds()} // The owner may have taken the units.
 		case !passed:
-			taken, wait := l.takeLocal(httpReq.Context(), o, req.Units)
+			taken, wait := l.takeOwned(httpReq.Context(), o, req)
 			reply = takeReply{Taken: taken, WaitMS: wait.Milliseconds()}
 		}
 		writeJSON(w, reply)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -458,3 +458,49 @@
 		t.Error("r2 counts as unreachable")
 	}
 }
+
+// onceOwner is a hook that calls do when a router first becomes a quota owner.
+type onceOwner struct {
+	do   func()
+	done atomic.Bool
+}
+
+func (h *onceOwner) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (h *onceOwner) Fire(e *logrus.Entry) error {
+	if e.Data["event"] == "quota_home" && h.done.CompareAndSwap(false, true) {
+		h.do()
+	}
+	return nil
+}
+
+// Guards against the refusal of a request far below the rate because another router takes the bucket over between the moment
+// at which this router owns it and the request.
+func TestRequestIsAdmittedIfBucketIsHandedOverMeanwhile(t *testing.T) {
+	o := &catalog.Organisation{Name: "smithy", Rate: 1000, Burst: 500}
+	for name, known := range map[string]bool{"to a router that is not known yet": false, "to a known router": true} {
+		t.Run(name, func(t *testing.T) {
+			all := newRouters(t, o, "entry-1", "entry-2")
+			first, second := all["entry-1"], all["entry-2"]
+			if second.peers.owners(o.Name, time.Now())[0].VM != "" {
+				first, second = second, first
+			}
+			// The second one ranks first for the organisation; the first one finds it late.
+			other := first.peers.byVM[second.peers.self].Peer
+			delete(first.peers.byVM, other.VM)
+			var taken bool
+			first.ledger.log.Logger.AddHook(&onceOwner{do: func() {
+				if known {
+					first.peers.Add(other)
+				}
+				taken = second.ledger.Take(t.Context(), o, 10).Admitted
+			}})
+			if d := first.ledger.Take(t.Context(), o, 10); !d.Admitted {
+				t.Errorf("request of the former owner: %+v, want it admitted", d)
+			}
+			if !taken {
+				t.Error("request of the new owner was refused")
+			}
+		})
+	}
+}
