A quarantine is stored at once, also shortly after the suspicion

Callers: a prompt part that crashes engines was let through again after all routers and schedulers had been killed within a second of its quarantine, and crashed up to four more engines, with the other streams on them.

Cause: a router wrote the stored records at most once in 0.9 s, and after a write that was put off looked again with its timer of 1 s only. A quarantine often follows its suspicion, which is written too, within half a second. So it reached the store a second late.

Change: three writes may follow each other at once, at the same mean rate (a rate.Limiter), and a router whose write has to wait for the rate or for its rank looks again at that moment.

Why it works: suspicion and quarantine are two writes, so the second is made 80 ms after the change like the first, and the rate holds in a flood.

Measured: TestQuarantineIsStoredAtOnceAfterSuspicion failed before in both subtests, and passes. TestWritesOfCrashRecordsAreBounded: at most three writes and one each 0.9 s while a part is found each 50 ms for 20 s.

--- a/internal/router/storedrecords.go
+++ b/internal/router/storedrecords.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/hyssoptiller/hyssoptiller/internal/crashrecords"
 	"github.com/hyssoptiller/hyssoptiller/internal/sleep"
@@ -18,8 +19,10 @@
 	storedCheckInterval = time.Second
 	// maxReadRetryInterval bounds the time between two attempts of a router that starts to read the stored records.
 	maxReadRetryInterval = time.Second
-	// minWriteInterval is the shortest time between two checks with a write, however many crashes there are.
-	minWriteInterval = 900 * time.Millisecond
+	// writeInterval is the mean time between two writes, however many crashes there are. writeBurst is the number of writes
+	// without it: a part may become a suspect and enter quarantine within some hundred milliseconds.
+	writeInterval = 900 * time.Millisecond
+	writeBurst    = 3
 	// storedWriters is the number of routers that see to it that the records are stored: the first one, and the others if
 	// it does not within rankDelay each.
 	storedWriters = 3
@@ -52,8 +55,8 @@
 	// Used by run only.
 	known          *crashrecords.Stored // What is stored, as far as this router knows; nil if it does not.
 	position       platform.ItemPosition
-	writtenAt      time.Time // Last attempt to write.
-	uncoveredSince time.Time // When the stored records were found incomplete; zero while they are not.
+	writes         *rate.Limiter // Writes that this router may make.
+	uncoveredSince time.Time     // When the stored records were found incomplete; zero while they are not.
 
 	mu        sync.Mutex
 	awaited   bool      // Requests wait until the records are known.
@@ -63,7 +66,10 @@
 }
 
 func newStoredRecords(item recordItem, log *logrus.Entry) *storedRecords {
-	return &storedRecords{item: item, log: log, wake: make(chan struct{}, 1), completed: make(chan struct{})}
+	return &storedRecords{
+		item: item, log: log, wake: make(chan struct{}, 1), completed: make(chan struct{}),
+		writes: rate.NewLimiter(rate.Every(writeInterval), writeBurst),
+	}
 }
 
 // markComplete records that this router knows what was known before it started.
@@ -135,8 +141,8 @@
 			return ctx.Err()
 		}
 	}
-	for {
-		timer := time.NewTimer(storedCheckInterval)
+	for wait := storedCheckInterval; ; {
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -145,7 +151,7 @@
 			timer.Stop()
 		case <-timer.C:
 		}
-		s.sync(ctx)
+		wait = s.sync(ctx)
 	}
 }
 
@@ -180,23 +186,36 @@
 	return !stored.Covers(s.records(), now)
 }
 
-// sync stores the records of this router if the store lacks any and it is this router's turn.
-func (s *storedRecords) sync(ctx context.Context) {
+// sync stores the records of this router if the store lacks any and it is this router's turn. It returns the time until the next
+// check.
+func (s *storedRecords) sync(ctx context.Context) time.Duration {
 	now := time.Now()
 	if !s.missing(now) {
 		s.uncoveredSince = time.Time{}
-		return
+		return storedCheckInterval
 	}
 	if s.uncoveredSince.IsZero() {
 		s.uncoveredSince = now
 	}
-	if now.Sub(s.writtenAt) < minWriteInterval {
-		return
-	}
 	rank := s.rank()
-	if rank < 0 || rank >= storedWriters || now.Sub(s.uncoveredSince) < time.Duration(rank)*rankDelay {
-		return
+	if rank < 0 || rank >= storedWriters {
+		return storedCheckInterval
+	}
+	turn := s.uncoveredSince.Add(time.Duration(rank) * rankDelay)
+	if tokens := s.writes.TokensAt(now); tokens < 1 {
+		if next := now.Add(time.Duration((1 - tokens) * float64(writeInterval))); next.After(turn) {
+			turn = next
+		}
 	}
+	if now.Before(turn) {
+		return min(turn.Sub(now), storedCheckInterval)
+	}
+	s.store(ctx, rank)
+	return storedCheckInterval
+}
+
+// store reads the stored records, unless they are known, and writes what they lack.
+func (s *storedRecords) store(ctx context.Context, rank int) {
 	for attempt := range maxStoreAttempts {
 		if s.known == nil || rank > 0 || attempt > 0 {
 			if err := s.read(ctx); err != nil {
@@ -204,7 +223,8 @@
 				return
 			}
 		}
-		if now = time.Now(); !s.missing(now) {
+		now := time.Now()
+		if !s.missing(now) {
 			s.uncoveredSince = time.Time{}
 			return
 		}
@@ -230,7 +250,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	s.writtenAt = time.Now()
+	s.writes.ReserveN(time.Now(), 1) // Attempts after a conflict count too, and delay the next check.
 	position, err := s.item.WriteCrashRecords(ctx, data, s.position)
 	if s.counted != nil {
 		s.counted()
--- a/internal/router/storedrecords_test.go
+++ b/internal/router/storedrecords_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -142,6 +143,14 @@
 	return held[0]
 }
 
+// suspect makes a part a suspect.
+func (r *recordsRouter) suspect(part string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Suspect(quarantine.Suspicion{Part: part, Since: time.Now()}, time.Now())
+	r.notify()
+}
+
 func (r *recordsRouter) apply(h quarantine.HeldPart) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -205,6 +214,71 @@
 	}
 }
 
+// Guards against a quarantine that is stored a second late, and lost with all processes, since the suspicion of the part was
+// written shortly before it.
+func TestQuarantineIsStoredAtOnceAfterSuspicion(t *testing.T) {
+	for _, noFirst := range []bool{false, true} {
+		t.Run(fmt.Sprint("first writer away ", noFirst), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				item := &fakeItem{epoch: 1}
+				var routers []*recordsRouter
+				within := 200 * time.Millisecond
+				if noFirst {
+					within += rankDelay
+				} else {
+					routers = append(routers, startRecords(ctx, item, 0))
+				}
+				for rank := 1; rank < 5; rank++ {
+					routers = append(routers, startRecords(ctx, item, rank))
+				}
+				time.Sleep(time.Second)
+				for _, r := range routers {
+					r.suspect("bad")
+				}
+				time.Sleep(within)
+				if item.stored() == "" {
+					t.Errorf("the store does not have the suspect %s after it was found", within)
+				}
+				time.Sleep(200 * time.Millisecond)
+				held := routers[0].hold("bad")
+				for _, r := range routers[1:] {
+					r.apply(held)
+				}
+				time.Sleep(within)
+				if !item.holds("bad") {
+					t.Errorf("the store does not have the quarantine %s after it began", within)
+				}
+			})
+		})
+	}
+}
+
+// However many parts are found, each writer makes a bounded number of calls of the store.
+func TestWritesOfCrashRecordsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const lasts = 20 * time.Second
+		item := &fakeItem{epoch: 1}
+		r := startRecords(ctx, item, 0)
+		time.Sleep(time.Second)
+		for n := range int(lasts / (50 * time.Millisecond)) {
+			r.hold(fmt.Sprint("bad", n))
+			time.Sleep(50 * time.Millisecond)
+		}
+		reads, writes := item.calls()
+		if most := writeBurst + int(lasts/writeInterval); writes > most || reads > 1 {
+			t.Errorf("calls in %s: %d writes and %d reads, want at most %d writes and one read", lasts, writes, reads, most)
+		}
+		time.Sleep(writeInterval)
+		if !item.holds("bad0") || !item.holds("bad200") {
+			t.Errorf("the store does not have all parts %s after the last one was found", writeInterval)
+		}
+	})
+}
+
 // A router that starts holds back what the store has before it judges requests. Without the store it waits for another router,
 // and for a bounded time if there is none.
 func TestRouterThatStartsAwaitsCrashRecords(t *testing.T) {
