router: an isolated router reads the crash records of the store

Callers: a router that reached the store but no other router let a prompt part through, with a crash each time, which the other routers refused.

Cause: a router adopts the stored records at its start and when it writes. While reports, pings and exchanges fail, nothing brings it what others have stored.

TestRouterThatIsCutOffReadsCrashRecords failed before.

Change: a router that reaches less than half of the routers that it calls (Peers.Isolated) reads the item each second. Records are adopted only if the item has changed.

Why it works: a quarantine is in the store 80 ms after it begins, so that each router with a path to the store has it within some 2 s. Routers that reach most of the others learn it from these and read nothing.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -146,6 +146,7 @@
 	r.storedRecords = newStoredRecords(r.store, log)
 	r.storedRecords.records, r.storedRecords.adopt = records, adopt
 	r.storedRecords.rank = func() int { return r.peers.RecordsRank(crashRecordsKey, time.Now()) }
+	r.storedRecords.isolated = func() bool { return r.peers.Isolated(time.Now()) }
 	r.storedRecords.counted = func() { r.counters.recordWrites.Inc(1) }
 	r.recordExchange.complete, r.recordExchange.onComplete = r.storedRecords.isComplete, r.storedRecords.markComplete
 	r.recordExchange.count = func() { r.counters.recordExchanges.Inc(1) }
--- a/internal/router/storedrecords.go
+++ b/internal/router/storedrecords.go
@@ -49,13 +49,16 @@
 	records func() crashrecords.Records // Those of this router.
 	adopt   func(from string, r crashrecords.Records)
 	rank    func() int // Place of this router among the writers; -1 if it must not write.
-	counted func()     // Called for each write; may be nil.
-	log     *logrus.Entry
-	wake    chan struct{}
+	// isolated reports whether this router reaches few of the others, so that it learns what they hold from the store only.
+	isolated func() bool
+	counted  func() // Called for each write; may be nil.
+	log      *logrus.Entry
+	wake     chan struct{}
 
 	// Used by run only.
 	known          *crashrecords.Stored // What is stored, as far as this router knows; nil if it does not.
 	position       platform.ItemPosition
+	readAt         time.Time     // End of the last attempt to read them.
 	writes         *rate.Limiter // Writes that this router may make.
 	uncoveredSince time.Time     // When the stored records were found incomplete; zero while they are not.
 
@@ -156,13 +159,20 @@
 	}
 }
 
-// read reads the stored records and adopts them. Records that cannot be decoded count as none and are replaced.
+// read reads the stored records and adopts them if they have changed. Records that cannot be decoded count as none and are
+// replaced.
 func (s *storedRecords) read(ctx context.Context) error {
+	former := s.known
 	s.known = nil
 	data, position, err := s.item.ReadCrashRecords(ctx)
+	s.readAt = time.Now()
 	if err != nil {
 		return err
 	}
+	if former != nil && position == s.position {
+		s.known = former
+		return nil
+	}
 	stored, err := crashrecords.DecodeStored(data)
 	if err != nil {
 		s.log.WithError(err).WithField("event", "crash_records_invalid").Warn("stored crash records are invalid, ignored")
@@ -187,9 +197,14 @@
 	return !stored.Covers(s.records(), now)
 }
 
-// sync stores the records of this router if the store lacks any and it is this router's turn. It returns the time until the next
-// check.
+// sync stores the records of this router if the store lacks any and it is this router's turn. An isolated router reads the
+// stored ones as well. sync returns the time until the next check.
 func (s *storedRecords) sync(ctx context.Context) time.Duration {
+	if s.isolated() && time.Since(s.readAt) >= storedCheckInterval {
+		if err := s.read(ctx); err != nil {
+			s.log.WithError(err).WithField("event", "crash_records_unread").Info("stored crash records not read")
+		}
+	}
 	now := time.Now()
 	if !s.missing(now) {
 		s.uncoveredSince = time.Time{}
--- a/internal/router/storedrecords_test.go
+++ b/internal/router/storedrecords_test.go
@@ -104,6 +104,7 @@
 	*storedRecords
 	mu      sync.Mutex
 	tracker *quarantine.PartTracker
+	alone   bool // It reaches no other router.
 }
 
 // startRecords starts the stored records of a router, which ends with the context.
@@ -126,6 +127,11 @@
 		}
 	}
 	r.rank = func() int { return rank }
+	r.isolated = func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.alone
+	}
 	r.await()
 	go func() { _ = r.run(ctx) }() // Ends with ctx.
 	return r
@@ -152,6 +158,22 @@
 	r.notify()
 }
 
+// state returns the state of a part, "" if it is not known.
+func (r *recordsRouter) state(part string) quarantine.PartState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range r.tracker.States([]string{part}, time.Now()) {
+		return h.State
+	}
+	return ""
+}
+
+func (r *recordsRouter) set(change func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change()
+}
+
 func (r *recordsRouter) apply(h quarantine.HeldPart) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -262,6 +284,35 @@
 	}
 }
 
+// Guards against a router that is cut off from the others, but not from the store, and sends a prompt part to engines that the
+// others hold back.
+func TestRouterThatIsCutOffReadsCrashRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		item := &fakeItem{epoch: 1}
+		other, cutOff := startRecords(ctx, item, 0), startRecords(ctx, item, 0)
+		time.Sleep(10 * time.Second)
+		reads, _ := item.calls()
+		cutOff.set(func() { cutOff.alone = true })
+		time.Sleep(5*storedCheckInterval + storedCheckInterval/2)
+		if now, writes := item.calls(); now-reads > 6 || writes > 0 {
+			t.Errorf("calls in 5.5s without records: %d reads and %d writes, want at most 6 and none", now-reads, writes)
+		}
+		other.hold("bad")
+		time.Sleep(storeDelay + storedCheckInterval + time.Millisecond)
+		if got := cutOff.state("bad"); got != quarantine.PartQuarantined {
+			t.Errorf("state of the part at the router that is cut off = %q, want %q", got, quarantine.PartQuarantined)
+		}
+		cutOff.set(func() { cutOff.alone = false })
+		reads, _ = item.calls()
+		time.Sleep(10 * time.Second)
+		if now, _ := item.calls(); now > reads {
+			t.Errorf("reads in 10s after the cut = %d, want none", now-reads)
+		}
+	})
+}
+
 // However many parts are found, each writer makes a bounded number of calls of the store.
 func TestWritesOfCrashRecordsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
