router: an adopted quarantine is stored at once

Callers: a prompt part could be let through again if all routers and schedulers were killed within a second of its quarantine, as before.

Cause: the first router of a ranking stores the records. If it adopted the quarantine from the router that had found it, nothing made it check the stored records before its timer of 1 s; the second router waits 0.7 s.

TestAdoptedQuarantineIsStoredAtOnce failed before.

Change: adopted states of parts lead to the check too.

Why it works: the check follows 80 ms after each change, whoever found it. One that the store has already leads to no call.

--- a/internal/router/partquarantine.go
+++ b/internal/router/partquarantine.go
@@ -79,6 +79,8 @@
 type partQuarantine struct {
 	// OnChange is called after this router has found a new state of a part. It must not block; it may be nil.
 	OnChange func()
+	// OnAdopt is called after this router has adopted a new state of a part. It must not block; it may be nil.
+	OnAdopt func()
 
 	peers *quota.Peers
 	log   *logrus.Entry
@@ -120,8 +122,12 @@
 
 // logChanges logs new states of parts. from is the process that they were adopted from, "" for this one.
 func (t *partQuarantine) logChanges(changes []quarantine.HeldPart, from string) {
-	if from == "" && len(changes) > 0 && t.OnChange != nil {
-		t.OnChange()
+	notify := t.OnChange
+	if from != "" {
+		notify = t.OnAdopt
+	}
+	if len(changes) > 0 && notify != nil {
+		notify()
 	}
 	for _, c := range changes {
 		t.log.WithFields(logrus.Fields{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -157,6 +157,7 @@
 		r.storedRecords.notify()
 	}
 	r.crashTracker.OnCounted, r.parts.OnChange = publish, publish
+	r.parts.OnAdopt = r.storedRecords.notify // The router that has found the state may not be the one that stores it.
 	r.formerVersions = newFormerVersions(s.versionBound(), func(key catalog.AdapterKey) catalog.Announcement {
 		return r.state.View().Versions[key]
 	})
--- a/internal/router/storedrecords_test.go
+++ b/internal/router/storedrecords_test.go
@@ -284,6 +284,31 @@
 	}
 }
 
+// Guards against a quarantine that is stored a second late, and lost with all processes, since the router that writes learned it
+// from another one.
+func TestAdoptedQuarantineIsStoredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		item := &fakeItem{epoch: 1}
+		r := New(Settings{VM: "entry-1", PeersAddress: "127.0.0.1:1"}, logrus.NewEntry(log))
+		defer func() { _ = r.metrics.Close() }() // Ends its goroutine.
+		r.storedRecords.item = item
+		go func() { _ = r.storedRecords.run(ctx) }() // Ends with ctx.
+		time.Sleep(storedCheckInterval / 2)
+		found := quarantine.HeldPart{
+			Part: "bad", State: quarantine.PartQuarantined, Remaining: 30 * time.Second, Quarantines: 1, Version: quarantine.PartVersion{Epoch: 1},
+		}
+		r.parts.apply(encodeHeldParts([]quarantine.HeldPart{found}), "entry-2")
+		time.Sleep(storeDelay + 20*time.Millisecond)
+		if !item.holds("bad") {
+			t.Errorf("the store does not have the quarantine %s after it was learned", storeDelay+20*time.Millisecond)
+		}
+	})
+}
+
 // Guards against a router that is cut off from the others, but not from the store, and sends a prompt part to engines that the
 // others hold back.
 func TestRouterThatIsCutOffReadsCrashRecords(t *testing.T) {
